--- /dev/null
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Value types that all parts of the router share.
+ */
+package io.balsamlane.core.model;
