--- /dev/null
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/KvEntry.java
@@ -0,0 +1,65 @@
+package io.balsamlane.standin.engine;
+
+import io.vertx.core.json.JsonObject;
+
+/**
+ * KV cache of one prompt on a prefill engine, from the start of the prefill to export or
+ * eviction.
+ */
+class KvEntry {
+
+	private final String attempt;
+
+	private final Prompt prompt;
+
+	private final int pieces;
+
+	private final long startedNanos;
+
+	private boolean ready;
+
+	private boolean exporting;
+
+	KvEntry(String attempt, Prompt prompt, int pieces, long startedNanos) {
+		this.attempt = attempt;
+		this.prompt = prompt;
+		this.pieces = pieces;
+		this.startedNanos = startedNanos;
+	}
+
+	String attempt() {
+		return this.attempt;
+	}
+
+	Prompt prompt() {
+		return this.prompt;
+	}
+
+	int pieces() {
+		return this.pieces;
+	}
+
+	boolean ready() {
+		return this.ready;
+	}
+
+	void setReady() {
+		this.ready = true;
+	}
+
+	boolean exporting() {
+		return this.exporting;
+	}
+
+	void setExporting() {
+		this.exporting = true;
+	}
+
+	JsonObject toJson(long nowNanos) {
+		return new JsonObject().put("attempt", this.attempt)
+			.put("phase", "prefill")
+			.put("pieces", this.pieces)
+			.put("ageMillis", (nowNanos - this.startedNanos) / 1_000_000);
+	}
+
+}
--- /dev/null
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/Sequence.java
@@ -0,0 +1,99 @@
+package io.balsamlane.standin.engine;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * One sequence of a decode engine's batch, with the stream that carries its tokens.
+ */
+class Sequence {
+
+	private final String attempt;
+
+	private final int pieces;
+
+	private final int maxTokens;
+
+	private final HttpServerResponse response;
+
+	private final long startedNanos = System.nanoTime();
+
+	private final int firstOffset;
+
+	private int offset;
+
+	private Prompt prompt;
+
+	Sequence(String attempt, int pieces, int offset, int maxTokens, HttpServerResponse response) {
+		this.attempt = attempt;
+		this.pieces = pieces;
+		this.firstOffset = offset;
+		this.offset = offset;
+		this.maxTokens = maxTokens;
+		this.response = response;
+	}
+
+	String attempt() {
+		return this.attempt;
+	}
+
+	int pieces() {
+		return this.pieces;
+	}
+
+	int generated() {
+		return this.offset - this.firstOffset;
+	}
+
+	boolean begun() {
+		return this.prompt != null;
+	}
+
+	void begin(Prompt imported) {
+		this.prompt = imported;
+	}
+
+	/**
+	 * Generates the next token and sends it if the stream is still open.
+	 * @param mute whether to send nothing
+	 * @return false once the sequence has ended
+	 */
+	boolean emit(boolean mute) {
+		int length = Math.min(this.maxTokens, this.prompt.answerTokens());
+		if (this.offset < length) {
+			send(mute, new JsonObject().put("offset", this.offset).put("text", this.prompt.token(this.offset)));
+			this.offset++;
+			return true;
+		}
+		send(mute, new JsonObject().put("finish", (length < this.maxTokens) ? "stop" : "length")
+			.put("offset", this.offset));
+		if (open() && !mute) {
+			this.response.end();
+		}
+		return false;
+	}
+
+	private void send(boolean mute, JsonObject line) {
+		if (open() && !mute) {
+			this.response.write(line.encode() + "\n");
+		}
+	}
+
+	void abort() {
+		if (open()) {
+			this.response.reset();
+		}
+	}
+
+	private boolean open() {
+		return !this.response.ended() && !this.response.closed();
+	}
+
+	JsonObject toJson(long nowNanos) {
+		return new JsonObject().put("attempt", this.attempt)
+			.put("phase", "decode")
+			.put("pieces", this.pieces)
+			.put("ageMillis", (nowNanos - this.startedNanos) / 1_000_000);
+	}
+
+}
--- /dev/null
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for a model engine.
+ */
+package io.balsamlane.standin.engine;
--- /dev/null
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for a plain service.
+ */
+package io.balsamlane.standin.service;
--- /dev/null
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/store/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Stand-in for the platform store.
+ */
+package io.balsamlane.standin.store;
