Thin path from caller to engines and services, with demo

Cause: no request could be served. Change: router daemon (caller and operator HTTP, configuration by compare-and-swap and watch, host list, engine client, two-random-choices grants, one store key per non-repeatable call), the operators' tool with apply, get, status and timeline, and bin/demo. Before: nothing runs. Conclusion: modules can now be grown behind their interfaces.

--- /dev/null
+++ b/balsamlane-cli/src/main/java/io/balsamlane/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The operators' command-line tool.
+ */
+package io.balsamlane.cli;
--- /dev/null
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/configuration/LabelExpression.java
@@ -0,0 +1,131 @@
+package io.balsamlane.core.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * Condition over labels, such as {@code service = draft-service, caller in (a, b), !old}.
+ * <p>
+ * Terms are joined by commas and must all hold. An empty expression holds for everything.
+ */
+public final class LabelExpression {
+
+	private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._/-]*";
+
+	private static final Pattern TERM = Pattern.compile("\\s*(?:(?<absent>!\\s*" + NAME + ")|(?<key>" + NAME
+			+ ")(?:\\s+(?<set>in|notin)\\s*\\((?<values>[^()]*)\\)|\\s*(?<equality>!=|==|=)\\s*(?<value>" + NAME
+			+ "))?)\\s*(?:,|$)");
+
+	private final String text;
+
+	private final List<Term> terms;
+
+	private LabelExpression(String text, List<Term> terms) {
+		this.text = text;
+		this.terms = List.copyOf(terms);
+	}
+
+	/**
+	 * Parses an expression.
+	 * @param text the expression
+	 * @return the parsed expression
+	 * @throws IllegalArgumentException if the text is not an expression; the message says
+	 * where and what is expected
+	 */
+	public static LabelExpression of(String text) {
+		Objects.requireNonNull(text, "text");
+		List<Term> terms = new ArrayList<>();
+		Matcher matcher = TERM.matcher(text);
+		int position = 0;
+		while (position < text.length() && !text.substring(position).isBlank()) {
+			if (!matcher.find(position) || matcher.start() != position) {
+				throw new IllegalArgumentException("Expression \"" + text + "\" is wrong at character " + (position + 1)
+						+ "; use terms such as key = value, key != value, key in (a, b), key notin (a, b), key, !key");
+			}
+			terms.add(term(matcher));
+			position = matcher.end();
+		}
+		return new LabelExpression(text.trim(), terms);
+	}
+
+	private static Term term(Matcher matcher) {
+		if (matcher.group("absent") != null) {
+			return new Term(matcher.group("absent").substring(1).trim(), Operator.ABSENT, Set.of());
+		}
+		String key = matcher.group("key");
+		if (matcher.group("set") != null) {
+			Set<String> values = Stream.of(matcher.group("values").split(","))
+				.map(String::trim)
+				.filter((value) -> !value.isEmpty())
+				.collect(Collectors.toUnmodifiableSet());
+			return new Term(key, matcher.group("set").equals("in") ? Operator.IN : Operator.NOT_IN, values);
+		}
+		if (matcher.group("equality") != null) {
+			Operator operator = matcher.group("equality").equals("!=") ? Operator.NOT_IN : Operator.IN;
+			return new Term(key, operator, Set.of(matcher.group("value")));
+		}
+		return new Term(key, Operator.PRESENT, Set.of());
+	}
+
+	/**
+	 * Tells whether the labels meet the expression.
+	 * @param labels the labels
+	 * @return true if every term holds
+	 */
+	public boolean matches(Map<String, String> labels) {
+		return this.terms.stream().allMatch((term) -> term.matches(labels));
+	}
+
+	/**
+	 * Returns the terms that the labels fail.
+	 * @param labels the labels
+	 * @return the failed terms as text, empty if the expression holds
+	 */
+	public List<String> failedTerms(Map<String, String> labels) {
+		return this.terms.stream().filter((term) -> !term.matches(labels)).map(Term::toString).toList();
+	}
+
+	@Override
+	public String toString() {
+		return this.text;
+	}
+
+	private enum Operator {
+
+		IN, NOT_IN, PRESENT, ABSENT
+
+	}
+
+	private record Term(String key, Operator operator, Set<String> values) {
+
+		boolean matches(Map<String, String> labels) {
+			String value = labels.get(this.key);
+			return switch (this.operator) {
+				case IN -> value != null && this.values.contains(value);
+				case NOT_IN -> value == null || !this.values.contains(value);
+				case PRESENT -> value != null;
+				case ABSENT -> value == null;
+			};
+		}
+
+		@Override
+		public String toString() {
+			String joined = this.values.stream().sorted().collect(Collectors.joining(", ", "(", ")"));
+			return switch (this.operator) {
+				case IN -> this.key + " in " + joined;
+				case NOT_IN -> this.key + " notin " + joined;
+				case PRESENT -> this.key;
+				case ABSENT -> "!" + this.key;
+			};
+		}
+
+	}
+
+}
--- /dev/null
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/model/Endpoint.java
@@ -0,0 +1,35 @@
+package io.balsamlane.core.model;
+
+import java.util.Objects;
+
+/**
+ * Address of a listening process.
+ *
+ * @param address the IP address
+ * @param port the TCP port, 1 to 65535
+ */
+public record Endpoint(String address, int port) {
+
+	public Endpoint {
+		Objects.requireNonNull(address, "address");
+		if (port < 1 || port > 65535) {
+			throw new IllegalArgumentException("Port " + port + " is not between 1 and 65535");
+		}
+	}
+
+	/**
+	 * Creates an endpoint.
+	 * @param address the IP address
+	 * @param port the TCP port
+	 * @return the endpoint
+	 */
+	public static Endpoint of(String address, int port) {
+		return new Endpoint(address, port);
+	}
+
+	@Override
+	public String toString() {
+		return this.address + ":" + this.port;
+	}
+
+}
--- /dev/null
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/model/HostName.java
@@ -0,0 +1,38 @@
+package io.balsamlane.core.model;
+
+import java.util.Objects;
+
+/**
+ * Name of a host, unique in the fleet.
+ *
+ * @param value the name, not blank
+ */
+public record HostName(String value) implements Comparable<HostName> {
+
+	public HostName {
+		Objects.requireNonNull(value, "value");
+		if (value.isBlank()) {
+			throw new IllegalArgumentException("HostName needs a value that is not blank");
+		}
+	}
+
+	/**
+	 * Creates an id from its text.
+	 * @param value the text, not blank
+	 * @return the id
+	 */
+	public static HostName of(String value) {
+		return new HostName(value);
+	}
+
+	@Override
+	public int compareTo(HostName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- a/balsamlane-core/src/main/java/io/balsamlane/core/model/Place.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/model/Place.java
@@ -7,24 +7,29 @@
  *
  * @param value the name, not blank
  */
-public record Place(String value) {
+public record Place(String value) implements Comparable<Place> {
 
 	public Place {
 		Objects.requireNonNull(value, "value");
 		if (value.isBlank()) {
-			throw new IllegalArgumentException("A place needs a name that is not blank");
+			throw new IllegalArgumentException("Place needs a value that is not blank");
 		}
 	}
 
 	/**
-	 * Creates the place with the given name.
-	 * @param value the name, not blank
-	 * @return the place
+	 * Creates an id from its text.
+	 * @param value the text, not blank
+	 * @return the id
 	 */
 	public static Place of(String value) {
 		return new Place(value);
 	}
 
+	@Override
+	public int compareTo(Place other) {
+		return this.value.compareTo(other.value);
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- /dev/null
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/model/ServerName.java
@@ -0,0 +1,38 @@
+package io.balsamlane.core.model;
+
+import java.util.Objects;
+
+/**
+ * Name of a backend server: one engine or one replica of a plain service.
+ *
+ * @param value the name, not blank
+ */
+public record ServerName(String value) implements Comparable<ServerName> {
+
+	public ServerName {
+		Objects.requireNonNull(value, "value");
+		if (value.isBlank()) {
+			throw new IllegalArgumentException("ServerName needs a value that is not blank");
+		}
+	}
+
+	/**
+	 * Creates an id from its text.
+	 * @param value the text, not blank
+	 * @return the id
+	 */
+	public static ServerName of(String value) {
+		return new ServerName(value);
+	}
+
+	@Override
+	public int compareTo(ServerName other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/time/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Time that orders events across processes.
+ */
+package io.balsamlane.core.time;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP interface for operators, health checks and metrics.
+ */
+package io.balsamlane.router.admin;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/decision/LocalGrantService.java
@@ -0,0 +1,109 @@
+package io.balsamlane.router.decision;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import io.balsamlane.core.model.BackendServer;
+import io.balsamlane.core.routing.Route;
+import io.balsamlane.schema.GrantReply;
+import io.balsamlane.schema.GrantRequest;
+import io.balsamlane.schema.GrantUpdate;
+import io.vertx.core.Future;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Picks the better of two random engines by the work that this router has given them.
+ */
+public final class LocalGrantService implements GrantService {
+
+	private static final int RETRY_AFTER_MILLIS = 1000;
+
+	private final UniformRandomProvider random;
+
+	private final int pieceTokens;
+
+	private final Map<String, Integer> outstanding = new HashMap<>();
+
+	private final Map<String, GrantReply> grants = new HashMap<>();
+
+	private LocalGrantService(UniformRandomProvider random, int pieceTokens) {
+		this.random = random;
+		this.pieceTokens = pieceTokens;
+	}
+
+	/**
+	 * Creates the service.
+	 * @param random source of the random choices
+	 * @param pieceTokens tokens in one piece of engine memory
+	 * @return the service
+	 */
+	public static LocalGrantService create(UniformRandomProvider random, int pieceTokens) {
+		return new LocalGrantService(random, pieceTokens);
+	}
+
+	@Override
+	public Future<GrantReply> request(GrantRequest request, Route.ToEngines route) {
+		GrantReply.Builder reply = GrantReply.newBuilder()
+			.setRequestId(request.getRequestId())
+			.setAttempt(request.getAttempt());
+		Optional<String> prefill = choose(route.prefill(), request.getExcludedServersList());
+		Optional<String> decode = choose(route.decode(), request.getExcludedServersList());
+		if (prefill.isEmpty() || decode.isEmpty()) {
+			return Future.succeededFuture(reply.setRefusalKind("no-engine")
+				.setReason("no engine is left that has not failed for this request")
+				.setRetryAfterMillis(RETRY_AFTER_MILLIS)
+				.build());
+		}
+		int pieces = (request.getPromptTokens() + request.getMaxTokens() + this.pieceTokens - 1) / this.pieceTokens;
+		GrantReply granted = reply.setGranted(true)
+			.setPrefillServer(prefill.get())
+			.setDecodeServer(decode.get())
+			.setReservedPieces(pieces)
+			.setReason("least outstanding of two random engines")
+			.build();
+		this.grants.put(key(request.getRequestId(), request.getAttempt()), granted);
+		servers(granted).forEach((server) -> this.outstanding.merge(server, 1, Integer::sum));
+		return Future.succeededFuture(granted);
+	}
+
+	private Optional<String> choose(List<BackendServer> servers, List<String> excluded) {
+		List<String> names = servers.stream()
+			.map((server) -> server.name().value())
+			.filter((name) -> !excluded.contains(name))
+			.toList();
+		if (names.isEmpty()) {
+			return Optional.empty();
+		}
+		String first = names.get(this.random.nextInt(names.size()));
+		String second = names.get(this.random.nextInt(names.size()));
+		return Optional.of((load(second) < load(first)) ? second : first);
+	}
+
+	private int load(String server) {
+		return this.outstanding.getOrDefault(server, 0);
+	}
+
+	@Override
+	public void update(GrantUpdate update) {
+		if (update.getKind() != GrantUpdate.Kind.RELEASED && update.getKind() != GrantUpdate.Kind.FAILED) {
+			return;
+		}
+		GrantReply grant = this.grants.remove(key(update.getRequestId(), update.getAttempt()));
+		if (grant != null) {
+			servers(grant).forEach((server) -> this.outstanding.computeIfPresent(server,
+					(name, count) -> (count > 1) ? count - 1 : null));
+		}
+	}
+
+	private static Stream<String> servers(GrantReply grant) {
+		return Stream.of(grant.getPrefillServer(), grant.getDecodeServer());
+	}
+
+	private static String key(String requestId, int attempt) {
+		return requestId + "." + attempt;
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/decision/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Grants of engines to model requests.
+ */
+package io.balsamlane.router.decision;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/Ran.java
@@ -0,0 +1,24 @@
+package io.balsamlane.router.edge;
+
+import java.util.Locale;
+
+/**
+ * Whether a request that was not answered normally has run.
+ */
+enum Ran {
+
+	/** The request did not run. */
+	NO,
+
+	/** The request ran. */
+	YES,
+
+	/** The request may have run. */
+	UNKNOWN;
+
+	@Override
+	public String toString() {
+		return name().toLowerCase(Locale.ROOT);
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
@@ -0,0 +1,49 @@
+package io.balsamlane.router.edge;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * Answer to a request that the router cannot complete, as problem details (RFC 9457).
+ *
+ * @param status HTTP status code
+ * @param kind stable kind of the error
+ * @param ran whether the request ran
+ * @param detail what went wrong
+ * @param remedy what the caller can do
+ * @param retryAfterMillis time after which a new try makes sense; 0 if waiting does not
+ * help
+ */
+record Refusal(int status, String kind, Ran ran, String detail, String remedy, int retryAfterMillis) {
+
+	static Refusal of(int status, String kind, Ran ran, String detail, String remedy) {
+		return new Refusal(status, kind, ran, detail, remedy, 0);
+	}
+
+	static Refusal withRetry(int status, String kind, Ran ran, String detail, int retryAfterMillis) {
+		return new Refusal(status, kind, ran, detail, "Send the request again after the given time", retryAfterMillis);
+	}
+
+	JsonObject toJson() {
+		return new JsonObject().put("type", "urn:balsamlane:" + this.kind)
+			.put("title", this.kind)
+			.put("status", this.status)
+			.put("detail", this.detail)
+			.put("kind", this.kind)
+			.put("ran", this.ran.toString())
+			.put("remedy", this.remedy);
+	}
+
+	void send(HttpServerResponse response) {
+		if (response.ended() || response.closed()) {
+			return;
+		}
+		if (this.retryAfterMillis > 0) {
+			response.putHeader("Retry-After", Integer.toString((this.retryAfterMillis + 999) / 1000));
+		}
+		response.setStatusCode(this.status)
+			.putHeader("content-type", "application/problem+json")
+			.end(toJson().encode());
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP interface for callers.
+ */
+package io.balsamlane.router.edge;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/PrefillCall.java
@@ -0,0 +1,12 @@
+package io.balsamlane.router.engine;
+
+/**
+ * Order to prefill a prompt.
+ *
+ * @param attempt request id and attempt number
+ * @param model name of the model
+ * @param prompt the prompt
+ * @param priority larger is more urgent
+ */
+public record PrefillCall(String attempt, String model, String prompt, int priority) {
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Access to model engines.
+ */
+package io.balsamlane.router.engine;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/hosts/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reads the platform's host list.
+ */
+package io.balsamlane.router.hosts;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The router daemon: its start, its stop and the state that its parts share.
+ */
+package io.balsamlane.router;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/records/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Records of non-repeatable calls.
+ */
+package io.balsamlane.router.records;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
@@ -0,0 +1,116 @@
+package io.balsamlane.router.store;
+
+import java.net.URI;
+import java.util.concurrent.TimeUnit;
+
+import io.balsamlane.schema.StoreSettings;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+
+/**
+ * Platform store reached by HTTP.
+ */
+public final class HttpPlatformStore implements PlatformStore {
+
+	private static final int MAX_CONNECTIONS = 16;
+
+	private static final String VERSION_HEADER = "X-Version";
+
+	private final HttpClient client;
+
+	private final URI base;
+
+	private final int watchWaitMillis;
+
+	private final int callTimeoutMillis;
+
+	private HttpPlatformStore(Vertx vertx, StoreSettings settings) {
+		this.base = URI.create(settings.getUrl());
+		this.callTimeoutMillis = settings.getCallTimeoutMillis();
+		this.watchWaitMillis = settings.getWatchWaitMillis();
+		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(this.callTimeoutMillis),
+				new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+	}
+
+	/**
+	 * Creates a client of the store.
+	 * @param vertx the event loops to use
+	 * @param settings address and time limits
+	 * @return the client
+	 */
+	public static HttpPlatformStore create(Vertx vertx, StoreSettings settings) {
+		return new HttpPlatformStore(vertx, settings);
+	}
+
+	@Override
+	public Future<StoreRead> get(String key) {
+		return read("/v1/kv/" + key, this.callTimeoutMillis);
+	}
+
+	@Override
+	public Future<StoreRead> watch(String key, long afterVersion) {
+		return read("/v1/watch/" + key + "?after=" + afterVersion + "&wait=" + this.watchWaitMillis,
+				this.watchWaitMillis + this.callTimeoutMillis);
+	}
+
+	private Future<StoreRead> read(String uri, long timeoutMillis) {
+		Future<StoreRead> answer = this.client.request(options(HttpMethod.GET, uri))
+			.compose((request) -> request.send())
+			.compose((response) -> response.body().map((body) -> toRead(response, body)));
+		return answer.timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+			.otherwise((cause) -> new StoreRead.Unavailable(cause.getMessage()));
+	}
+
+	private static StoreRead toRead(HttpClientResponse response, Buffer body) {
+		return switch (response.statusCode()) {
+			case 200 -> new StoreRead.Found(body.getBytes(), version(response));
+			case 204 -> new StoreRead.Unchanged();
+			case 404 -> new StoreRead.Absent();
+			default -> new StoreRead.Unavailable("the store answered with status " + response.statusCode());
+		};
+	}
+
+	@Override
+	public Future<StoreWrite> compareAndSet(String key, byte[] value, long expectedVersion) {
+		RequestOptions options = options(HttpMethod.PUT, "/v1/kv/" + key).putHeader("If-Version",
+				Long.toString(expectedVersion));
+		Future<StoreWrite> answer = this.client.request(options)
+			.compose((request) -> request.send(Buffer.buffer(value)))
+			.compose((response) -> response.body().map((body) -> toWrite(response)));
+		return answer.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
+			.otherwise((cause) -> new StoreWrite.Undecided(cause.getMessage()));
+	}
+
+	private static StoreWrite toWrite(HttpClientResponse response) {
+		int status = response.statusCode();
+		if (status == 200) {
+			return new StoreWrite.Written(version(response));
+		}
+		if (status == 412) {
+			return new StoreWrite.Mismatch(version(response));
+		}
+		if (status >= 500) {
+			return new StoreWrite.Undecided("the store answered with status " + status);
+		}
+		return new StoreWrite.Rejected("the store answered with status " + status);
+	}
+
+	private static long version(HttpClientResponse response) {
+		return Long.parseLong(response.getHeader(VERSION_HEADER));
+	}
+
+	private RequestOptions options(HttpMethod method, String uri) {
+		return new RequestOptions().setMethod(method)
+			.setHost(this.base.getHost())
+			.setPort(this.base.getPort())
+			.setURI(uri);
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/StoreWrite.java
@@ -0,0 +1,40 @@
+package io.balsamlane.router.store;
+
+/**
+ * Outcome of a compare-and-swap in the platform store.
+ */
+public sealed interface StoreWrite {
+
+	/**
+	 * The write took effect.
+	 *
+	 * @param version version of the new value
+	 */
+	record Written(long version) implements StoreWrite {
+	}
+
+	/**
+	 * The write did not take effect, because the value has another version.
+	 *
+	 * @param actualVersion version of the value, 0 if the key has none
+	 */
+	record Mismatch(long actualVersion) implements StoreWrite {
+	}
+
+	/**
+	 * The write did not take effect for another reason.
+	 *
+	 * @param message the cause
+	 */
+	record Rejected(String message) implements StoreWrite {
+	}
+
+	/**
+	 * The answer is lost; the write may have taken effect or may yet do so.
+	 *
+	 * @param message the cause
+	 */
+	record Undecided(String message) implements StoreWrite {
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Access to the platform store.
+ */
+package io.balsamlane.router.store;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/timeline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Events of this process, kept in a bounded ring.
+ */
+package io.balsamlane.router.timeline;
