--- /dev/null
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Which routers are alive, and which of them owns what.
+ */
+package io.balsamlane.core.membership;
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between routers.
+ */
+package io.balsamlane.router.peer;
