Membership by probes and a network between routers

Cause: routers did not know of each other; every part that needs an owner or a peer ran on the network without peers.

Change: FailureDetector finds out who is alive by probes. The daemon prints its peer port, answers /admin/v1/members, and leaves the member table when it stops.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -15,6 +15,7 @@
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
+import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
 import io.balsamlane.router.store.PlatformStore;
@@ -50,6 +51,8 @@
 
 	private final HostListReader hostReader;
 
+	private final NettyPeerNetwork peers;
+
 	private final CallerServer callers;
 
 	private final AdminServer admin;
@@ -66,12 +69,14 @@
 		this.configuration = ConfigurationKeeper.create(vertx, store, settings.getStore().getRetryPauseMillis(),
 				this::applied);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
+		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
 		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
 				settings.getScheduling().getPieceTokens());
 		this.callers = CallerServer.create(vertx, settings, this.state, grants,
 				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS), SingleKeyIntentService.create(store),
 				this.timeline);
-		this.admin = AdminServer.create(vertx, settings, this.state, this.configuration, this.timeline, metrics());
+		this.admin = AdminServer.create(vertx, settings, this.state, this.configuration, this.peers, this.timeline,
+				metrics());
 	}
 
 	/**
@@ -100,10 +105,12 @@
 		this.configuration.start();
 		this.hostReader.start();
 		return this.callers.start()
-			.compose((callerPort) -> this.admin.start().map((adminPort) -> new Ports(callerPort, adminPort)))
+			.compose((callerPort) -> this.admin.start()
+				.compose((adminPort) -> this.peers.start(adminPort)
+					.map((peerPort) -> new Ports(callerPort, adminPort, peerPort))))
 			.onSuccess((ports) -> logger.log(Level.INFO,
-					"Listening for callers on port {0,number,#}, for operators on {1,number,#}", ports.callers(),
-					ports.admin()));
+					"Listening for callers on port {0,number,#}, for operators on {1,number,#}, for routers on {2,number,#}",
+					ports.callers(), ports.admin(), ports.peer()));
 	}
 
 	/**
@@ -116,12 +123,15 @@
 		Promise<Void> drained = Promise.promise();
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
 		long deadlineNanos = System.nanoTime() + (noticeMillis + this.settings.getEdge().getDrainMillis()) * 1_000_000L;
-		this.vertx.setTimer(noticeMillis, (id) -> awaitDrained(deadlineNanos, drained));
+		this.vertx.setTimer(noticeMillis, (id) -> {
+			this.peers.leave();
+			awaitDrained(deadlineNanos, drained);
+		});
 		return drained.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
 			return this.callers.stop();
-		}).compose((done) -> this.admin.stop());
+		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
 	}
 
 	private void awaitDrained(long deadlineNanos, Promise<Void> drained) {
@@ -135,12 +145,14 @@
 
 	private synchronized void applied(Configuration next) {
 		this.state.setRoutes(routes(next));
+		this.peers.announceRevision(next.getRevision());
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
 	}
 
 	private synchronized void hostsChanged(HostList next) {
 		this.hosts = next;
+		this.peers.seed(next.routers());
 		this.state.setRoutes(routes(this.configuration.applied()));
 	}
 
@@ -154,8 +166,9 @@
 	 *
 	 * @param callers port for callers
 	 * @param admin port for operators
+	 * @param peer port for other routers
 	 */
-	public record Ports(int callers, int admin) {
+	public record Ports(int callers, int admin, int peer) {
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterMain.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterMain.java
@@ -89,7 +89,8 @@
 		Vertx vertx = Vertx.vertx();
 		RouterDaemon daemon = RouterDaemon.create(vertx, settings);
 		daemon.start()
-			.onSuccess((ports) -> System.out.println("ready callers=" + ports.callers() + " admin=" + ports.admin()))
+			.onSuccess((ports) -> System.out
+				.println("ready callers=" + ports.callers() + " admin=" + ports.admin() + " peer=" + ports.peer()))
 			.onFailure((cause) -> {
 				System.err.println("balsamlaned: cannot start: " + cause.getMessage()
 						+ "; check [node] address and the ports in the settings");
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
@@ -9,9 +9,11 @@
 import io.balsamlane.router.RouterState;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
 import io.balsamlane.router.configuration.SubmitResult;
+import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.timeline.Timeline;
 import io.balsamlane.schema.Change;
 import io.balsamlane.schema.EventQuery;
+import io.balsamlane.schema.MemberSync;
 import io.balsamlane.schema.Settings;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -38,6 +40,8 @@
 
 	private final ConfigurationKeeper configuration;
 
+	private final NettyPeerNetwork peers;
+
 	private final Timeline timeline;
 
 	private final MetricRegistry metrics;
@@ -45,11 +49,12 @@
 	private HttpServer server;
 
 	private AdminServer(Vertx vertx, Settings settings, RouterState state, ConfigurationKeeper configuration,
-			Timeline timeline, MetricRegistry metrics) {
+			NettyPeerNetwork peers, Timeline timeline, MetricRegistry metrics) {
 		this.vertx = vertx;
 		this.settings = settings;
 		this.state = state;
 		this.configuration = configuration;
+		this.peers = peers;
 		this.timeline = timeline;
 		this.metrics = metrics;
 	}
@@ -60,13 +65,14 @@
 	 * @param settings the settings of the daemon
 	 * @param state the routes in force
 	 * @param configuration the configuration in force
+	 * @param peers the other routers
 	 * @param timeline events of this process
 	 * @param metrics metrics of this process
 	 * @return the server
 	 */
 	public static AdminServer create(Vertx vertx, Settings settings, RouterState state,
-			ConfigurationKeeper configuration, Timeline timeline, MetricRegistry metrics) {
-		return new AdminServer(vertx, settings, state, configuration, timeline, metrics);
+			ConfigurationKeeper configuration, NettyPeerNetwork peers, Timeline timeline, MetricRegistry metrics) {
+		return new AdminServer(vertx, settings, state, configuration, peers, timeline, metrics);
 	}
 
 	/**
@@ -100,6 +106,10 @@
 			case API_PREFIX + "status" -> sendJson(response, 200, status());
 			case API_PREFIX + "changes" -> change(request);
 			case API_PREFIX + "events" -> events(request);
+			case API_PREFIX + "members" -> this.peers.table()
+				.onSuccess((members) -> sendMessage(response, MemberSync.newBuilder().addAllMembers(members)))
+				.onFailure((cause) -> sendJson(response, 503,
+						new JsonObject().put("kind", "busy").put("message", cause.getMessage())));
 			default -> sendJson(response, 404, new JsonObject().put("kind", "unknown-path"));
 		}
 	}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/peer/MembershipDriver.java
@@ -0,0 +1,179 @@
+package io.balsamlane.router.peer;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import io.balsamlane.core.membership.FailureDetector;
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.core.membership.MemberView;
+import io.balsamlane.core.membership.MembershipAction;
+import io.balsamlane.core.membership.MembershipSettings;
+import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.RouterHost;
+import io.balsamlane.schema.MemberSync;
+import io.balsamlane.schema.MemberUpdate;
+import io.balsamlane.schema.PeerSettings;
+import io.balsamlane.schema.Probe;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Runs the failure detector on the peer thread. Only the methods that return ages and
+ * {@link #confirmed} may be called by other threads.
+ */
+final class MembershipDriver {
+
+	private static final int TICKS_PER_TIMEOUT = 4;
+
+	private final PeerSettings settings;
+
+	private final EventLoop eventLoop;
+
+	private final UniformRandomProvider random;
+
+	private final Consumer<MembershipAction> performer;
+
+	private final long createdNanos = System.nanoTime();
+
+	private FailureDetector detector;
+
+	private ScheduledFuture<?> timer;
+
+	private List<RouterHost> seeds = List.of();
+
+	private long revision;
+
+	private volatile long synchronizedBytes;
+
+	private volatile Reading reading = new Reading(this.createdNanos, true, Long.MAX_VALUE, 0);
+
+	MembershipDriver(PeerSettings settings, EventLoop eventLoop, UniformRandomProvider random,
+			Consumer<MembershipAction> performer) {
+		this.settings = settings;
+		this.eventLoop = eventLoop;
+		this.random = random;
+		this.performer = performer;
+	}
+
+	void start(Member self, int adminPort) {
+		MembershipSettings times = MembershipSettings.of(this.settings.getProbeMillis(),
+				this.settings.getProbeTimeoutMillis(), this.settings.getSuspicionMillis());
+		this.detector = FailureDetector.create(self, adminPort, times, this.random, System.nanoTime());
+		this.detector.revisionApplied(this.revision);
+		run((nowNanos) -> this.detector.seed(this.seeds, nowNanos));
+		long tickMillis = Math.max(1, this.settings.getProbeTimeoutMillis() / TICKS_PER_TIMEOUT);
+		this.timer = this.eventLoop.scheduleWithFixedDelay(() -> run(this.detector::tick), tickMillis, tickMillis,
+				TimeUnit.MILLISECONDS);
+	}
+
+	void halt() {
+		if (this.timer != null) {
+			this.timer.cancel(false);
+		}
+	}
+
+	MemberView view() {
+		return this.detector.view();
+	}
+
+	List<MemberUpdate> snapshot() {
+		return (this.detector != null) ? this.detector.snapshot() : List.of();
+	}
+
+	Optional<Endpoint> endpoint(HostName host) {
+		return (this.detector != null) ? this.detector.endpoint(host) : Optional.empty();
+	}
+
+	void received(Probe probe, Endpoint from) {
+		run((nowNanos) -> this.detector.received(probe, from, nowNanos));
+	}
+
+	void seed(List<RouterHost> routers) {
+		this.seeds = routers;
+		run((nowNanos) -> this.detector.seed(routers, nowNanos));
+	}
+
+	void leave() {
+		run((nowNanos) -> this.detector.leave(nowNanos));
+	}
+
+	void stop() {
+		run((nowNanos) -> this.detector.stop(nowNanos));
+	}
+
+	void connectionLost(HostName host) {
+		run((nowNanos) -> this.detector.connectionLost(host, nowNanos));
+	}
+
+	void synchronize(MemberSync members) {
+		this.synchronizedBytes += members.getSerializedSize();
+		run((nowNanos) -> this.detector.synchronize(members.getMembersList(), nowNanos));
+	}
+
+	void announceRevision(long next) {
+		this.revision = next;
+		if (this.detector != null) {
+			this.detector.revisionApplied(next);
+		}
+	}
+
+	void storeContact(long contactNanos) {
+		if (this.detector != null) {
+			this.detector.storeContact(contactNanos);
+		}
+	}
+
+	long synchronizedBytes() {
+		return this.synchronizedBytes;
+	}
+
+	long storeAgeMillis() {
+		Reading last = this.reading;
+		return (last.storeAgeMillis() == Long.MAX_VALUE) ? Long.MAX_VALUE
+				: last.storeAgeMillis() + sinceMillis(last.nanos());
+	}
+
+	long peerAgeMillis() {
+		Reading last = this.reading;
+		return last.peerAgeMillis() + sinceMillis(last.nanos());
+	}
+
+	// After a pause of the process any thread may run before the peer thread does, so a
+	// reading that is too old counts as an unresolved pause.
+	boolean confirmed() {
+		Reading last = this.reading;
+		return last.confirmed() && (this.timer == null || sinceMillis(last.nanos()) <= this.settings.getProbeMillis());
+	}
+
+	private static long sinceMillis(long nanos) {
+		return Math.max(0, (System.nanoTime() - nanos) / 1_000_000);
+	}
+
+	private void run(Function<Long, List<MembershipAction>> step) {
+		if (this.detector == null) {
+			return;
+		}
+		long nowNanos = System.nanoTime();
+		List<MembershipAction> actions = step.apply(nowNanos);
+		this.reading = new Reading(nowNanos, this.detector.confirmed(), this.detector.storeAgeMillis(nowNanos),
+				this.detector.peerAgeMillis(nowNanos));
+		actions.forEach(this.performer);
+	}
+
+	/**
+	 * State of the detector for other threads.
+	 *
+	 * @param nanos when it was taken
+	 * @param confirmed whether no pause is unresolved
+	 * @param storeAgeMillis time since the last contact with the store
+	 * @param peerAgeMillis time since a peer was heard
+	 */
+	private record Reading(long nanos, boolean confirmed, long storeAgeMillis, long peerAgeMillis) {
+	}
+
+}
