Property tests of the failure detector, and two faults they found

Cause: a resumed node could send probes before it reported its removal, and the queue of statements kept hosts that the table had evicted.

Change: probes after a pause go out with the next tick, the report of a removal comes first, and the queue has the bound of the table.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/Dissemination.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/Dissemination.java
@@ -31,7 +31,7 @@
 
 	private final ProbeOrder order;
 
-	private final UpdateQueue queue = new UpdateQueue();
+	private final UpdateQueue queue;
 
 	private MemberUpdate self;
 
@@ -49,6 +49,7 @@
 		this.settings = settings;
 		this.table = table;
 		this.order = order;
+		this.queue = new UpdateQueue(settings.maxMembers() + 1);
 		setSelf(self);
 	}
 
--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/FailureDetector.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/FailureDetector.java
@@ -27,8 +27,6 @@
 
 	private static final int INDIRECT_PROBES = 3;
 
-	private static final long MAX_SYNCHRONIZE_NANOS = 60_000_000_000L;
-
 	private final MembershipSettings settings;
 
 	private final RejoinTargets rejoin;
@@ -39,6 +37,8 @@
 
 	private final Dissemination dissemination;
 
+	private final SynchronizeSchedule synchronization;
+
 	private final PendingProbes pending = new PendingProbes();
 
 	private final String host;
@@ -49,13 +49,9 @@
 
 	private boolean confirmed = true;
 
-	private long confirmingSequence;
-
-	private boolean synchronizedOnce;
-
-	private long synchronizeIntervalNanos;
+	private boolean resumed;
 
-	private long lastSynchronizeNanos;
+	private long confirmingSequence;
 
 	private long lastNanos;
 
@@ -83,8 +79,7 @@
 					.setAdminPort(adminPort)
 					.build());
 		this.probeNanos = settings.probeMillis() * 1_000_000;
-		this.synchronizeIntervalNanos = 2 * this.probeNanos;
-		this.lastSynchronizeNanos = nowNanos - this.synchronizeIntervalNanos;
+		this.synchronization = new SynchronizeSchedule(2 * this.probeNanos, nowNanos);
 		this.lastNanos = nowNanos;
 		this.nextProbeNanos = nowNanos + random.nextLong(this.probeNanos);
 		this.peerContactNanos = nowNanos;
@@ -254,6 +249,10 @@
 		this.table
 			.select((entry) -> entry.status() == MemberStatus.SUSPECT && entry.ageNanos(nowNanos) >= suspicionNanos)
 			.forEach((entry) -> change(entry, MemberStatus.DEAD, actions, nowNanos));
+		if (this.resumed) {
+			this.resumed = false;
+			this.order.sample(INDIRECT_PROBES, "").forEach((entry) -> probe(entry, actions, nowNanos));
+		}
 		if (nowNanos - this.nextProbeNanos >= 0) {
 			this.nextProbeNanos = Math.max(this.nextProbeNanos + this.probeNanos, nowNanos + this.probeNanos / 2);
 			probeRound(actions, nowNanos);
@@ -339,11 +338,8 @@
 			this.heardRevision = probe.getConfigurationRevision();
 			actions.add(new MembershipAction.RevisionHeard(HostName.of(sender.getHost()), this.heardRevision));
 		}
-		boolean quiet = this.table.quietNanos(nowNanos) >= 2 * this.probeNanos;
-		if (probe.getMemberDigest() != this.dissemination.digest() && (quiet || !this.synchronizedOnce)
-				&& nowNanos - this.lastSynchronizeNanos >= this.synchronizeIntervalNanos) {
-			this.lastSynchronizeNanos = nowNanos;
-			this.synchronizeIntervalNanos = Math.min(MAX_SYNCHRONIZE_NANOS, 2 * this.synchronizeIntervalNanos);
+		if (probe.getMemberDigest() != this.dissemination.digest()
+				&& this.synchronization.take(this.table.quietNanos(nowNanos), nowNanos)) {
 			this.table.find(sender.getHost())
 				.ifPresent((entry) -> actions
 					.add(new MembershipAction.Synchronize(HostName.of(entry.host()), entry.endpoint())));
@@ -382,7 +378,7 @@
 	 */
 	public List<MembershipAction> synchronize(List<MemberUpdate> members, long nowNanos) {
 		List<MembershipAction> actions = begin(nowNanos);
-		this.synchronizedOnce = true;
+		this.synchronization.finished();
 		members.forEach((update) -> accept(update, actions, nowNanos));
 		return finish(actions, nowNanos);
 	}
@@ -418,7 +414,8 @@
 		this.dissemination.setSelf(next);
 		this.table.markChanged();
 		if (update.getStatus() == MemberStatus.DEAD) {
-			actions.add(new MembershipAction.RemovalRefuted(self.getIncarnation(), next.getIncarnation()));
+			// Comes first, so that the caller hears of it before anything is sent.
+			actions.add(0, new MembershipAction.RemovalRefuted(self.getIncarnation(), next.getIncarnation()));
 		}
 	}
 
@@ -472,14 +469,14 @@
 			this.confirmed = false;
 			this.confirmingSequence = this.dissemination.sequence() + 1;
 			actions.add(new MembershipAction.Paused(gapNanos / 1_000_000));
-			this.order.sample(INDIRECT_PROBES, "").forEach((entry) -> probe(entry, actions, nowNanos));
+			this.resumed = true;
 		}
 		return actions;
 	}
 
 	private List<MembershipAction> finish(List<MembershipAction> actions, long nowNanos) {
 		if (this.table.takeChanged()) {
-			this.synchronizeIntervalNanos = 2 * this.probeNanos;
+			this.synchronization.tableChanged();
 			MemberView next = createView();
 			if (!next.equals(this.view)) {
 				this.view = next;
--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/UpdateQueue.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/UpdateQueue.java
@@ -17,9 +17,22 @@
 
 	private static final int FIELD_OVERHEAD_BYTES = 3;
 
+	private final int capacity;
+
 	private final Map<String, Queued> queued = new HashMap<>();
 
+	UpdateQueue(int capacity) {
+		this.capacity = capacity;
+	}
+
+	// If there is no room, the statement that was sent most often gives way.
 	void add(MemberUpdate update) {
+		if (this.queued.size() >= this.capacity && !this.queued.containsKey(update.getHost())) {
+			this.queued.values()
+				.stream()
+				.max(Comparator.comparingInt((entry) -> entry.sent))
+				.ifPresent((entry) -> this.queued.remove(entry.update.getHost()));
+		}
 		this.queued.put(update.getHost(), new Queued(update));
 	}
 
--- /dev/null
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/membership/FailureDetectorPropertyTests.java
@@ -0,0 +1,133 @@
+package io.balsamlane.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against members that stay removed although they are alive, dead ones that stay,
+ * and tables that do not agree, under random faults.
+ */
+class FailureDetectorPropertyTests {
+
+	private static final long DETECTION_MILLIS = 3_000;
+
+	private static final long AGREEMENT_MILLIS = 5_000;
+
+	@Property(tries = 60, seed = "11", shrinking = ShrinkingMode.OFF)
+	void agreesAfterAnyFaultsHaveHealed(@ForAll @IntRange(min = 2, max = 12) int size,
+			@ForAll("faults") @Size(min = 1, max = 8) List<Fault> faults, @ForAll long seed) {
+		DetectorFleet fleet = new DetectorFleet(size, seed);
+		assertThat(fleet.awaitAgreement(AGREEMENT_MILLIS)).as("joining").isLessThan(AGREEMENT_MILLIS);
+		faults.forEach((fault) -> {
+			fault.apply(fleet, size);
+			fleet.run(fault.millis());
+		});
+		fleet.heal();
+		// The longest pause outlasts the faults by its own length.
+		fleet.run(Fault.LONGEST_MILLIS);
+		assertThat(fleet.awaitAgreement(AGREEMENT_MILLIS)).as("after healing").isLessThan(AGREEMENT_MILLIS);
+		fleet.run(AGREEMENT_MILLIS);
+		assertThat(fleet.awaitAgreement(1)).as("agreement lasts").isZero();
+	}
+
+	@Property(tries = 40, seed = "12", shrinking = ShrinkingMode.OFF)
+	void agreesWithinFiveSecondsAfterAPartition(@ForAll @IntRange(min = 2, max = 30) int size,
+			@ForAll @IntRange(min = 1, max = 29) int cut, @ForAll @IntRange(min = 500, max = 20_000) int millis,
+			@ForAll long seed) {
+		DetectorFleet fleet = new DetectorFleet(size, seed);
+		fleet.awaitAgreement(AGREEMENT_MILLIS);
+		fleet.partition(1 + cut % (size - 1));
+		fleet.run(millis);
+		fleet.heal();
+		assertThat(fleet.awaitAgreement(AGREEMENT_MILLIS)).isLessThan(AGREEMENT_MILLIS);
+	}
+
+	@Property(tries = 60, seed = "13", shrinking = ShrinkingMode.OFF)
+	void removesAKilledMemberEverywhereWithinThreeSeconds(@ForAll @IntRange(min = 2, max = 40) int size,
+			@ForAll @IntRange(min = 0, max = 700) int phaseMillis, @ForAll long seed) {
+		DetectorFleet fleet = new DetectorFleet(size, seed);
+		fleet.awaitAgreement(AGREEMENT_MILLIS);
+		fleet.run(phaseMillis);
+		fleet.kill("node-0");
+		assertThat(fleet.awaitAgreement(DETECTION_MILLIS)).isLessThan(DETECTION_MILLIS);
+	}
+
+	@Property(tries = 30, seed = "14", shrinking = ShrinkingMode.OFF)
+	void removesNobodyWhenDatagramsAreLost(@ForAll @IntRange(min = 3, max = 20) int size, @ForAll long seed) {
+		DetectorFleet fleet = new DetectorFleet(size, seed);
+		fleet.awaitAgreement(AGREEMENT_MILLIS);
+		fleet.setLoss(0.02);
+		fleet.observed().clear();
+		fleet.run(20_000);
+		assertThat(fleet.observed()).noneMatch(MembershipAction.Removed.class::isInstance);
+	}
+
+	@Provide
+	Arbitrary<List<Fault>> faults() {
+		return Combinators
+			.combine(Arbitraries.of(Fault.Kind.class), Arbitraries.integers().between(0, 11),
+					Arbitraries.integers().between(0, 11), Arbitraries.integers().between(50, Fault.LONGEST_MILLIS))
+			.as(Fault::new)
+			.list();
+	}
+
+	/**
+	 * A fault and how long the next one waits.
+	 *
+	 * @param kind what happens
+	 * @param first selects a node
+	 * @param second selects another
+	 * @param millis duration, in milliseconds
+	 */
+	record Fault(Kind kind, int first, int second, int millis) {
+
+		private static final int LONGEST_MILLIS = 4_000;
+
+		private void apply(DetectorFleet fleet, int size) {
+			String a = "node-" + this.first % size;
+			String b = "node-" + this.second % size;
+			List<String> running = new ArrayList<>(fleet.running());
+			switch (this.kind) {
+				case LOSS -> fleet.setLoss(0.2);
+				case ONE_WAY -> fleet.block(a, b);
+				case DEAF -> running.forEach((name) -> fleet.block(name, a));
+				case MUTE -> running.forEach((name) -> fleet.block(a, name));
+				case PARTITION -> fleet.partition(1 + this.first % size);
+				case PAUSE -> fleet.pause(a, this.millis);
+				case KILL -> {
+					if (running.size() > 1) {
+						fleet.kill(a);
+					}
+				}
+				case RESTART -> {
+					fleet.kill(a);
+					fleet.start(a);
+				}
+				default -> fleet.heal();
+			}
+		}
+
+		/**
+		 * Kind of a fault.
+		 */
+		enum Kind {
+
+			LOSS, ONE_WAY, DEAF, MUTE, PARTITION, PAUSE, KILL, RESTART, HEAL
+
+		}
+
+	}
+
+}
