--- /dev/null
+++ b/balsamlane-proofs/src/test/java/io/balsamlane/proofs/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Proofs with real processes under faults.
+ */
+package io.balsamlane.proofs;
--- /dev/null
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/fleet/Fleet.java
@@ -0,0 +1,356 @@
+package io.balsamlane.standin.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * Stand-ins and routers as separate processes on loopback.
+ * <p>
+ * The platform store and the host list start with the fleet. The host list is published
+ * again after each process that joins or leaves. Everything ends with {@link #close()}.
+ */
+public final class Fleet implements AutoCloseable {
+
+	private static final Pattern LISTENING = Pattern.compile("listening (\\d+)");
+
+	private static final Pattern READY = Pattern.compile("ready callers=(\\d+) admin=(\\d+)(?: peer=(\\d+))?");
+
+	private static final List<String> STAND_IN_JVM = List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
+	private static final List<String> ROUTER_JVM = List.of("-Xms64m", "-Xmx160m", "-XX:+UseSerialGC");
+
+	private static final List<String> TOOL_JVM = List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
+	private static final int POLL_MILLIS = 20;
+
+	private final Path directory;
+
+	private final FleetHttp http = FleetHttp.create();
+
+	private final Map<String, ChildProcess> standIns = new LinkedHashMap<>();
+
+	private final Map<String, Integer> ports = new LinkedHashMap<>();
+
+	private final Map<String, JsonObject> hosts = new LinkedHashMap<>();
+
+	private final Map<String, RouterProcess> routers = new LinkedHashMap<>();
+
+	private Fleet(Path directory) {
+		this.directory = directory;
+	}
+
+	/**
+	 * Starts the platform store and an empty host list.
+	 * @param hostLagMillis lag of the host list, in milliseconds
+	 * @return the fleet
+	 */
+	public static Fleet create(int hostLagMillis) {
+		try {
+			Fleet fleet = new Fleet(Files.createTempDirectory("balsamlane-fleet-"));
+			Path empty = Files.writeString(fleet.directory.resolve("hosts.json"), "[]");
+			fleet.standIn("store", List.of("store"));
+			fleet.standIn("hosts",
+					List.of("hosts", "--file", empty.toString(), "--lag-millis", Integer.toString(hostLagMillis)));
+			return fleet;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private int standIn(String name, List<String> args) {
+		ChildProcess process = ChildProcess.start(name, this.directory, STAND_IN_JVM,
+				"io.balsamlane.standin.StandInMain", args);
+		this.standIns.put(name, process);
+		int port = Integer.parseInt(process.awaitLine(LISTENING).group(1));
+		this.ports.put(name, port);
+		return port;
+	}
+
+	/**
+	 * Starts an engine and lists it.
+	 * @param name name of the engine
+	 * @param pool name of its pool
+	 * @param place place it stands in
+	 * @param region region of the place
+	 * @param options further options of the stand-in
+	 * @return its port
+	 */
+	public int engine(String name, String pool, String place, String region, String... options) {
+		return backend(name, "engine", pool, place, region, options);
+	}
+
+	/**
+	 * Starts a replica of a plain service and lists it.
+	 * @param name name of the replica
+	 * @param service name of the service
+	 * @param place place it stands in
+	 * @param region region of the place
+	 * @param options further options of the stand-in
+	 * @return its port
+	 */
+	public int service(String name, String service, String place, String region, String... options) {
+		return backend(name, "service", service, place, region, options);
+	}
+
+	private int backend(String name, String kind, String group, String place, String region, String... options) {
+		List<String> args = new ArrayList<>(List.of(kind, "--name", name));
+		args.addAll(List.of(options));
+		int port = standIn(name, args);
+		list(name, kind, group, place, region, port);
+		return port;
+	}
+
+	private void list(String name, String kind, String group, String place, String region, int port) {
+		this.hosts.put(name,
+				new JsonObject().put("host", name)
+					.put("kind", kind)
+					.put("name", group)
+					.put("place", place)
+					.put("region", region)
+					.put("address", "127.0.0.1")
+					.put("port", port)
+					.put("state", "live"));
+		publishHosts();
+	}
+
+	/**
+	 * Shows a host as leaving, after the lag of the host list.
+	 * @param name name of the host
+	 */
+	public void markLeaving(String name) {
+		this.hosts.get(name).put("state", "leaving");
+		publishHosts();
+	}
+
+	/**
+	 * Removes a host from the host list, after its lag.
+	 * @param name name of the host
+	 */
+	public void unlist(String name) {
+		this.hosts.remove(name);
+		publishHosts();
+	}
+
+	private void publishHosts() {
+		JsonArray list = new JsonArray(List.copyOf(this.hosts.values()));
+		this.http.send("PUT", standInUrl("hosts", "/stand-in/hosts"), list.encode(), Map.of());
+	}
+
+	/**
+	 * Starts a router and lists it.
+	 * @param name name of its host
+	 * @param place place of the host
+	 * @param region region of the place
+	 * @param overrides settings that differ from the defaults, by {@code section.key}
+	 * @return the router, ready for requests as soon as a configuration is in force
+	 */
+	public RouterProcess router(String name, String place, String region, Map<String, String> overrides) {
+		Path file = this.directory.resolve(name + ".ini");
+		writeSettings(file, name, place, region, overrides);
+		ChildProcess process = ChildProcess.start(name, this.directory, ROUTER_JVM, "io.balsamlane.router.RouterMain",
+				List.of("--config", file.toString()));
+		Matcher ready = process.awaitLine(READY);
+		int peerPort = (ready.group(3) != null) ? Integer.parseInt(ready.group(3)) : 0;
+		RouterProcess router = new RouterProcess(process, place, region, overrides, Integer.parseInt(ready.group(1)),
+				Integer.parseInt(ready.group(2)), peerPort);
+		this.routers.put(name, router);
+		if (peerPort > 0) {
+			list(name, "router", "router", place, region, peerPort);
+		}
+		return router;
+	}
+
+	private void writeSettings(Path file, String name, String place, String region, Map<String, String> overrides) {
+		Map<String, Map<String, String>> sections = new TreeMap<>();
+		Map<String, String> settings = new TreeMap<>(
+				Map.of("node.host", name, "node.place", place, "node.region", region, "store.url",
+						standInUrl("store", ""), "hosts.url", standInUrl("hosts", "/v1/hosts"), "hosts.poll_millis",
+						"200", "edge.port", "0", "edge.admin_port", "0", "edge.balancer_notice_millis", "200"));
+		settings.put("peer.port", "0");
+		settings.putAll(overrides);
+		settings.forEach((key, value) -> sections
+			.computeIfAbsent(key.substring(0, key.indexOf('.')), (section) -> new TreeMap<>())
+			.put(key.substring(key.indexOf('.') + 1), value));
+		StringBuilder text = new StringBuilder();
+		sections.forEach((section, keys) -> {
+			text.append('[').append(section).append("]\n");
+			keys.forEach((key, value) -> text.append(key).append(" = ").append(value).append('\n'));
+		});
+		try {
+			Files.writeString(file, text);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Starts a router again under the same name and settings, after its process has
+	 * ended.
+	 * @param name name of its host
+	 * @return the router in its new process
+	 */
+	public RouterProcess restartRouter(String name) {
+		RouterProcess old = this.routers.get(name);
+		return router(name, old.place(), old.region(), old.overrides());
+	}
+
+	/**
+	 * Returns a router.
+	 * @param name name of its host
+	 * @return the router
+	 */
+	public RouterProcess router(String name) {
+		return this.routers.get(name);
+	}
+
+	/**
+	 * Returns all routers, in the order of their first start.
+	 * @return the routers
+	 */
+	public List<RouterProcess> routers() {
+		return List.copyOf(this.routers.values());
+	}
+
+	/**
+	 * Returns the process of a stand-in.
+	 * @param name name of the stand-in; {@code store} and {@code hosts} are the
+	 * platform's
+	 * @return the process
+	 */
+	public ChildProcess standIn(String name) {
+		return this.standIns.get(name);
+	}
+
+	/**
+	 * Returns an address of a stand-in.
+	 * @param name name of the stand-in
+	 * @param path path and query
+	 * @return the URL
+	 */
+	public String standInUrl(String name, String path) {
+		return "http://127.0.0.1:" + this.ports.get(name) + path;
+	}
+
+	/**
+	 * Switches faults of a stand-in.
+	 * @param name name of the stand-in
+	 * @param faults the faults by name
+	 */
+	public void faults(String name, JsonObject faults) {
+		this.http.send("POST", standInUrl(name, "/stand-in/faults"), faults.encode(), Map.of());
+	}
+
+	/**
+	 * Reads the state or the ledger of a stand-in.
+	 * @param name name of the stand-in
+	 * @param what name of the resource below {@code /stand-in/}
+	 * @return the JSON text
+	 */
+	public String inspect(String name, String what) {
+		return this.http.get(standInUrl(name, "/stand-in/" + what)).body();
+	}
+
+	/**
+	 * Returns the HTTP client of this fleet.
+	 * @return the client
+	 */
+	public FleetHttp http() {
+		return this.http;
+	}
+
+	/**
+	 * Runs the operators' tool against the first router that runs.
+	 * @param args arguments without {@code --server}
+	 * @return the ended process
+	 */
+	public ChildProcess control(String... args) {
+		String servers = String.join(",",
+				this.routers.values()
+					.stream()
+					.filter((router) -> router.process().alive())
+					.map((router) -> router.adminUrl(""))
+					.toList());
+		List<String> all = Stream.concat(Stream.of("--server", servers), Stream.of(args)).toList();
+		ChildProcess tool = ChildProcess.start("tool", this.directory, TOOL_JVM, "io.balsamlane.cli.ControlMain", all);
+		tool.awaitExit(Duration.ofSeconds(60));
+		return tool;
+	}
+
+	/**
+	 * Applies objects of the configuration with the operators' tool and waits until every
+	 * running router is ready.
+	 * @param objects content of an INI file of objects
+	 */
+	public void apply(String objects) {
+		try {
+			Path file = Files.writeString(Files.createTempFile(this.directory, "objects-", ".ini"), objects);
+			ChildProcess tool = control("apply", "--file", file.toString());
+			if (tool.awaitExit(Duration.ofSeconds(1)) != 0) {
+				throw new IllegalStateException("apply failed:\n" + tool.output() + tool.errors());
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		await("every router is ready", Duration.ofSeconds(15),
+				() -> this.routers.values()
+					.stream()
+					.filter((router) -> router.process().alive())
+					.allMatch((router) -> this.http.get(router.adminUrl("/ready")).status() == 200));
+	}
+
+	/**
+	 * Waits for a condition.
+	 * @param what the condition in words, for the error message
+	 * @param limit longest wait
+	 * @param condition the condition
+	 */
+	public static void await(String what, Duration limit, BooleanSupplier condition) {
+		long deadlineNanos = System.nanoTime() + limit.toNanos();
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() - deadlineNanos > 0) {
+				throw new AssertionError("Not within " + limit + ": " + what);
+			}
+			try {
+				TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				throw new IllegalStateException("Interrupted while waiting until " + what, ex);
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		Stream.concat(this.routers.values().stream().map(RouterProcess::process), this.standIns.values().stream())
+			.filter(ChildProcess::alive)
+			.forEach(ChildProcess::kill);
+		try (Stream<Path> files = Files.walk(this.directory)) {
+			files.sorted(Comparator.reverseOrder()).forEach((file) -> file.toFile().delete());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
