Check the settings as a whole and generate their page

Cause: unknown sections, duplicate keys, misplaced lines and rules across keys went unnoticed, so that a daemon could start with settings that its operator did not mean, such as an address beyond loopback without a key. Change: every error is reported at once with file, line, key, value and remedy; docs/settings.md is generated from the schema and compared by a test.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/settings/SettingsLoader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/settings/SettingsLoader.java
@@ -5,14 +5,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
+import java.util.Optional;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.Descriptors.FieldDescriptor;
-import com.google.protobuf.Descriptors.FieldDescriptor.JavaType;
 import com.google.protobuf.Message;
 import io.balsamlane.router.settings.SettingsResult.Invalid;
 import io.balsamlane.router.settings.SettingsResult.Loaded;
@@ -31,12 +29,13 @@
 
 	private final INIConfiguration ini = new INIConfiguration();
 
-	private final Map<String, Integer> lines = new HashMap<>();
-
 	private final List<SettingsError> errors = new ArrayList<>();
 
+	private SettingsLines lines = SettingsLines.of("");
+
 	private SettingsLoader(String file) {
 		this.file = file;
+		this.ini.setSeparatorUsedInInput("=");
 	}
 
 	/**
@@ -45,16 +44,25 @@
 	 * @return the settings or every error found
 	 */
 	public static SettingsResult load(Path path) {
-		SettingsLoader loader = new SettingsLoader(path.toString());
 		try {
-			return loader.parse(Files.readString(path));
+			return parse(path.toString(), Files.readString(path));
 		}
 		catch (IOException ex) {
 			return new Invalid(List.of(new SettingsError(path.toString(), 0, "file", path.toString(),
-					"cannot be read; name a readable file")));
+					"cannot be read; name a readable file in UTF-8")));
 		}
 	}
 
+	/**
+	 * Reads settings from text.
+	 * @param file name of the file for error messages
+	 * @param text content of the file
+	 * @return the settings or every error found
+	 */
+	public static SettingsResult parse(String file, String text) {
+		return new SettingsLoader(file).parse(text);
+	}
+
 	private SettingsResult parse(String text) {
 		try {
 			this.ini.read(new StringReader(text));
@@ -63,79 +71,112 @@
 			return new Invalid(List.of(new SettingsError(this.file, 0, "file", "",
 					"is not an INI file: " + ex.getMessage() + "; use [section] and key = value")));
 		}
-		indexLines(text);
+		this.lines = SettingsLines.of(text);
+		this.lines.misplaced()
+			.forEach((line) -> this.errors.add(new SettingsError(this.file, line.number(), "line", line.text(),
+					"is neither a section nor a setting of a section; use [section] and key = value")));
+		rejectUnknownSections();
 		Settings.Builder settings = Settings.newBuilder();
-		Set<String> known = new TreeSet<>();
 		for (FieldDescriptor section : Settings.getDescriptor().getFields()) {
 			Message.Builder builder = settings.newBuilderForField(section);
-			for (FieldDescriptor field : section.getMessageType().getFields()) {
-				known.add(section.getName() + "." + field.getName());
-				read(section.getName(), field, builder);
-			}
+			section.getMessageType().getFields().forEach((field) -> read(section.getName(), field, builder));
 			settings.setField(section, builder.build());
+			rejectUnknownKeys(section);
 		}
-		rejectUnknown(known);
+		SettingsRules.check(settings.build())
+			.stream()
+			.filter((problem) -> this.errors.stream().noneMatch((error) -> error.key().equals(problem.key())))
+			.toList()
+			.forEach((problem) -> error(problem.key(), problem.value(), problem.remedy()));
+		this.errors.sort(Comparator.comparingInt(SettingsError::line).thenComparing(SettingsError::key));
 		return this.errors.isEmpty() ? new Loaded(settings.build()) : new Invalid(this.errors);
 	}
 
-	private void indexLines(String text) {
-		String section = "";
-		String[] all = text.split("\n", -1);
-		for (int index = 0; index < all.length; index++) {
-			String line = all[index].trim();
-			if (line.startsWith("[") && line.endsWith("]")) {
-				section = line.substring(1, line.length() - 1).trim();
-			}
-			else if (line.contains("=") && !line.startsWith("#") && !line.startsWith(";")) {
-				this.lines.put(section + "." + line.substring(0, line.indexOf('=')).trim(), index + 1);
-			}
-		}
+	private void rejectUnknownSections() {
+		List<String> known = Settings.getDescriptor().getFields().stream().map(FieldDescriptor::getName).toList();
+		this.lines.sections()
+			.filter((section) -> !known.contains(section.text()))
+			.forEach((section) -> this.errors
+				.add(new SettingsError(this.file, section.number(), "[" + section.text() + "]", "",
+						"is not a section; use one of " + String.join(", ", known) + ", see docs/settings.md")));
+	}
+
+	private void rejectUnknownKeys(FieldDescriptor section) {
+		List<String> known = section.getMessageType().getFields().stream().map(FieldDescriptor::getName).toList();
+		this.lines.keys(section.getName()).filter((key) -> !known.contains(key)).forEach((key) -> {
+			String remedy = closest(known, key).map((near) -> "did you mean " + near + "? Otherwise remove it")
+				.orElse("remove it");
+			error(section.getName() + "." + key, value(section.getName(), key).orElse(""),
+					"is not a setting; " + remedy + ", see docs/settings.md");
+		});
+	}
+
+	private static Optional<String> closest(List<String> known, String key) {
+		String wanted = key.replaceAll("[^a-z0-9]", "");
+		return known.stream()
+			.filter((name) -> name.replace("_", "").equals(wanted) || (key.length() > 2 && name.startsWith(key))
+					|| key.startsWith(name))
+			.findFirst();
+	}
+
+	private Optional<String> value(String section, String key) {
+		// Dots in a name would be read as a path by Commons Configuration.
+		return Optional.ofNullable(this.ini.getSection(section).getString(key.replace(".", "..")));
 	}
 
 	private void read(String section, FieldDescriptor field, Message.Builder builder) {
 		SettingOptions options = field.getOptions().getExtension(SettingsOuterClass.setting);
 		String key = section + "." + field.getName();
-		String value = this.ini.getSection(section).getString(field.getName());
-		if (value == null) {
-			if (options.getRequired()) {
-				error(key, "", "is missing; set it: " + options.getDescription());
-				return;
-			}
-			value = options.getDefaultValue();
+		List<Integer> places = this.lines.of(section, field.getName());
+		if (places.size() > 1) {
+			String others = places.stream().map(String::valueOf).collect(Collectors.joining(", "));
+			error(key, value(section, field.getName()).orElse(""),
+					"is set more than once, in lines " + others + "; keep one of them");
+			return;
 		}
-		if (field.getJavaType() == JavaType.STRING) {
-			builder.setField(field, value.trim());
+		Optional<String> value = value(section, field.getName()).map(String::trim);
+		if (options.getRequired() && value.filter((text) -> !text.isEmpty()).isEmpty()) {
+			error(key, "", "is missing; set it: " + options.getDescription());
 			return;
 		}
+		// After an error the default is used, so that the rules across keys report no
+		// consequences of it.
+		builder.setField(field, convert(key, field, options, value.orElse(options.getDefaultValue()))
+			.orElseGet(() -> convert(key, field, options, options.getDefaultValue()).orElseThrow()));
+	}
+
+	private Optional<Object> convert(String key, FieldDescriptor field, SettingOptions options, String value) {
+		return switch (field.getJavaType()) {
+			case STRING -> Optional.of(value);
+			case BOOLEAN -> {
+				if (!value.equals("true") && !value.equals("false")) {
+					error(key, value, "is neither true nor false; use one of them");
+					yield Optional.empty();
+				}
+				yield Optional.of(Boolean.valueOf(value));
+			}
+			case INT -> number(key, options, value).map(Long::intValue);
+			case LONG -> number(key, options, value).map((number) -> number);
+			default -> throw new IllegalStateException("The schema gives " + key + " an unsupported type");
+		};
+	}
+
+	private Optional<Long> number(String key, SettingOptions options, String value) {
 		try {
-			long number = Long.parseLong(value.trim());
-			if (number < options.getMin() || number > options.getMax()) {
-				error(key, value, "is out of bounds; use " + options.getMin() + " to " + options.getMax());
-				return;
+			long number = Long.parseLong(value);
+			if (number >= options.getMin() && number <= options.getMax()) {
+				return Optional.of(number);
 			}
-			builder.setField(field, (int) number);
+			error(key, value, "is out of bounds; use " + options.getMin() + " to " + options.getMax());
 		}
 		catch (NumberFormatException ex) {
 			error(key, value, "is not a whole number; use " + options.getMin() + " to " + options.getMax());
 		}
-	}
-
-	private void rejectUnknown(Set<String> known) {
-		this.lines.keySet()
-			.stream()
-			.filter((key) -> !known.contains(key))
-			.sorted()
-			.forEach((key) -> error(key, value(key),
-					"is not a setting; remove it or correct its name, see docs/settings.md"));
-	}
-
-	private String value(String key) {
-		int dot = key.indexOf('.');
-		return String.valueOf(this.ini.getSection(key.substring(0, dot)).getString(key.substring(dot + 1)));
+		return Optional.empty();
 	}
 
 	private void error(String key, String value, String remedy) {
-		this.errors.add(new SettingsError(this.file, this.lines.getOrDefault(key, 0), key, value, remedy));
+		this.errors.add(new SettingsError(this.file, this.lines.first(key), key, value, remedy));
 	}
 
 }
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the daemon.
+ */
+package io.balsamlane.router;
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/settings/SettingsReferenceTests.java
@@ -0,0 +1,23 @@
+package io.balsamlane.router.settings;
+
+import java.io.IOException;
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a page of settings that no longer matches the schema.
+ */
+class SettingsReferenceTests {
+
+	@Test
+	void pageMatchesTheSchema() throws IOException {
+		assertThat(Path.of("../docs/settings.md"))
+			.as("docs/settings.md is out of date; run SettingsReference with this file")
+			.content()
+			.isEqualTo(SettingsReference.markdown());
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the settings.
+ */
+package io.balsamlane.router.settings;
