Operator port with key, limits, preview, gathered events and metrics

Cause: the operator port checked no key, took bodies of any size, and gave only the events and a few metrics of one process.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -3,21 +3,31 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 
-import com.codahale.metrics.Gauge;
-import com.codahale.metrics.MetricRegistry;
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
+import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
+import io.balsamlane.router.admin.OperatorParts;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
 import io.balsamlane.router.decision.GrantService;
 import io.balsamlane.router.decision.LocalGrantService;
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
+import io.balsamlane.router.log.LogContext;
+import io.balsamlane.router.metrics.MeteredGrantService;
+import io.balsamlane.router.metrics.MeteredIntentService;
+import io.balsamlane.router.metrics.MeteredPlatformStore;
+import io.balsamlane.router.metrics.RouterMetrics;
+import io.balsamlane.router.peer.PeerNetwork;
+import io.balsamlane.router.peer.StandalonePeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
 import io.balsamlane.router.store.PlatformStore;
+import io.balsamlane.router.timeline.EventGatherer;
 import io.balsamlane.router.timeline.Timeline;
 import io.balsamlane.schema.Configuration;
 import io.balsamlane.schema.EventKind;
@@ -54,7 +64,14 @@
 
 	private final AdminServer admin;
 
-	private HostList hosts = HostList.empty();
+	private final RouterMetrics metrics = RouterMetrics.create();
+
+	private volatile HostList hosts = HostList.empty();
+
+	private volatile Runnable drained = () -> {
+	};
+
+	private Promise<Void> stopped;
 
 	private RouterDaemon(Vertx vertx, Settings settings) {
 		this.vertx = vertx;
@@ -62,16 +79,26 @@
 		String host = settings.getNode().getHost();
 		this.timeline = Timeline.create(host, settings.getTimeline().getCapacityEvents(), System::currentTimeMillis);
 		this.state = RouterState.create(routes(Configuration.getDefaultInstance()));
-		PlatformStore store = HttpPlatformStore.create(vertx, settings.getStore());
+		PlatformStore store = MeteredPlatformStore.of(HttpPlatformStore.create(vertx, settings.getStore()),
+				this.metrics);
 		this.configuration = ConfigurationKeeper.create(vertx, store, settings.getStore().getRetryPauseMillis(),
 				this::applied);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
 		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
 				settings.getScheduling().getPieceTokens());
-		this.callers = CallerServer.create(vertx, settings, this.state, grants,
-				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS), SingleKeyIntentService.create(store),
-				this.timeline);
-		this.admin = AdminServer.create(vertx, settings, this.state, this.configuration, this.timeline, metrics());
+		this.callers = CallerServer.create(vertx, settings, this.state, MeteredGrantService.of(grants, this.metrics),
+				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS),
+				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics), this.timeline);
+		PeerNetwork network = StandalonePeerNetwork.create(new Member(HostName.of(host), 1,
+				Place.of(settings.getNode().getPlace()), Endpoint.of(settings.getNode().getAddress(), 1)));
+		this.admin = AdminServer.create(vertx, settings,
+				new OperatorParts(this.state, this.configuration, () -> this.hosts, network,
+						EventGatherer.create(this.timeline, network), this.metrics, this.callers::inProgress,
+						this::drain));
+		this.metrics.members(() -> network.members().members().size());
+		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
+				() -> this.state.ready() ? 1 : 0);
+		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
 	/**
@@ -84,13 +111,6 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
-	private MetricRegistry metrics() {
-		MetricRegistry registry = new MetricRegistry();
-		registry.register("configuration_revision", (Gauge<Long>) () -> this.state.routes().revision());
-		registry.register("requests_in_progress", (Gauge<Integer>) () -> this.callers.inProgress());
-		return registry;
-	}
-
 	/**
 	 * Starts all parts.
 	 * @return the ports, once requests are accepted
@@ -108,16 +128,37 @@
 
 	/**
 	 * Fails the readiness check, waits for the balancer and for all requests, then stops.
+	 * A further call joins the stop that is under way.
 	 * @return completes when everything has stopped
 	 */
-	public Future<Void> stop() {
+	public synchronized Future<Void> stop() {
+		if (this.stopped == null) {
+			this.stopped = Promise.promise();
+			stopOnce().onComplete(this.stopped);
+		}
+		return this.stopped.future();
+	}
+
+	/**
+	 * Sets what follows an operator's order to drain this router.
+	 * @param action runs once everything has stopped
+	 */
+	public void onDrained(Runnable action) {
+		this.drained = action;
+	}
+
+	private void drain() {
+		stop().onComplete((done) -> this.drained.run());
+	}
+
+	private Future<Void> stopOnce() {
 		this.state.setDraining();
 		this.timeline.record(EventKind.PROCESS_STOPPING, "", 0, this.settings.getNode().getHost(), "");
-		Promise<Void> drained = Promise.promise();
+		Promise<Void> idle = Promise.promise();
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
 		long deadlineNanos = System.nanoTime() + (noticeMillis + this.settings.getEdge().getDrainMillis()) * 1_000_000L;
-		this.vertx.setTimer(noticeMillis, (id) -> awaitDrained(deadlineNanos, drained));
-		return drained.future().compose((done) -> {
+		this.vertx.setTimer(noticeMillis, (id) -> awaitDrained(deadlineNanos, idle));
+		return idle.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
 			return this.callers.stop();
@@ -136,7 +177,9 @@
 	private synchronized void applied(Configuration next) {
 		this.state.setRoutes(routes(next));
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
-		logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
+		try (LogContext context = LogContext.revision(next.getRevision())) {
+			logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
+		}
 	}
 
 	private synchronized void hostsChanged(HostList next) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterMain.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterMain.java
@@ -22,7 +22,7 @@
 
 	private static final int EXIT_USAGE = 2;
 
-	private static final String USAGE = """
+	static final String USAGE = """
 			usage: balsamlaned --config FILE [--check]
 			  --config FILE  settings, see docs/settings.md
 			  --check        check the settings and exit
@@ -88,6 +88,7 @@
 	private static void start(Settings settings) {
 		Vertx vertx = Vertx.vertx();
 		RouterDaemon daemon = RouterDaemon.create(vertx, settings);
+		daemon.onDrained(() -> new Thread(() -> System.exit(0), "exit").start());
 		daemon.start()
 			.onSuccess((ports) -> System.out.println("ready callers=" + ports.callers() + " admin=" + ports.admin()))
 			.onFailure((cause) -> {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
@@ -1,81 +1,95 @@
 package io.balsamlane.router.admin;
 
-import com.codahale.metrics.MetricRegistry;
-import com.google.protobuf.InvalidProtocolBufferException;
-import com.google.protobuf.Message;
-import com.google.protobuf.MessageOrBuilder;
-import com.google.protobuf.util.JsonFormat;
-import io.balsamlane.core.configuration.EditResult;
-import io.balsamlane.router.RouterState;
-import io.balsamlane.router.configuration.ConfigurationKeeper;
-import io.balsamlane.router.configuration.SubmitResult;
-import io.balsamlane.router.timeline.Timeline;
-import io.balsamlane.schema.Change;
-import io.balsamlane.schema.EventQuery;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+
 import io.balsamlane.schema.Settings;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.HttpServerResponse;
-import io.vertx.core.json.JsonObject;
 
 /**
  * HTTP server for operators, the balancer's health checks and metrics.
+ * <p>
+ * {@code /live}, {@code /ready} and {@code /metrics} need no key, because balancers and
+ * collectors seldom can send one; they carry no data of callers.
  */
 public final class AdminServer {
 
+	private static final Logger logger = System.getLogger(AdminServer.class.getName());
+
 	private static final String API_PREFIX = "/admin/v1/";
 
+	private static final String LOOPBACK = "127.0.0.1";
+
+	// A change cannot be larger than the configuration, which the platform store limits
+	// to
+	// 1 MB; its JSON form is larger than the stored form.
+	private static final int MAX_BODY_BYTES = 2 << 20;
+
+	private static final int MAX_CONCURRENT_REQUESTS = 64;
+
+	private static final int IDLE_TIMEOUT_SECONDS = 60;
+
+	private static final int MAX_HEADER_BYTES = 16_384;
+
 	private final Vertx vertx;
 
 	private final Settings settings;
 
-	private final RouterState state;
+	private final OperatorAccess access;
+
+	private final OperatorParts parts;
 
-	private final ConfigurationKeeper configuration;
+	private final ConfigurationHandlers configuration;
 
-	private final Timeline timeline;
+	private final StatusHandlers status;
 
-	private final MetricRegistry metrics;
+	private final AtomicInteger inProgress = new AtomicInteger();
 
 	private HttpServer server;
 
-	private AdminServer(Vertx vertx, Settings settings, RouterState state, ConfigurationKeeper configuration,
-			Timeline timeline, MetricRegistry metrics) {
+	private AdminServer(Vertx vertx, Settings settings, OperatorParts parts) {
 		this.vertx = vertx;
 		this.settings = settings;
-		this.state = state;
-		this.configuration = configuration;
-		this.timeline = timeline;
-		this.metrics = metrics;
+		this.access = OperatorAccess.of(settings.getPeer());
+		this.parts = parts;
+		this.configuration = new ConfigurationHandlers(parts);
+		this.status = new StatusHandlers(settings, parts);
 	}
 
 	/**
 	 * Creates the server.
 	 * @param vertx the event loops to use
 	 * @param settings the settings of the daemon
-	 * @param state the routes in force
-	 * @param configuration the configuration in force
-	 * @param timeline events of this process
-	 * @param metrics metrics of this process
+	 * @param parts what operators can ask
 	 * @return the server
 	 */
-	public static AdminServer create(Vertx vertx, Settings settings, RouterState state,
-			ConfigurationKeeper configuration, Timeline timeline, MetricRegistry metrics) {
-		return new AdminServer(vertx, settings, state, configuration, timeline, metrics);
+	public static AdminServer create(Vertx vertx, Settings settings, OperatorParts parts) {
+		return new AdminServer(vertx, settings, parts);
 	}
 
 	/**
-	 * Starts listening.
+	 * Starts listening; without a shared key on loopback only.
 	 * @return the port
 	 */
 	public Future<Integer> start() {
-		HttpServerOptions options = new HttpServerOptions().setHost(this.settings.getNode().getAddress())
-			.setPort(this.settings.getEdge().getAdminPort());
+		if (!this.access.keyed()) {
+			logger.log(Level.WARNING, "No [peer] key is set, so operators can reach this router from its host only; "
+					+ "set the same key on all routers to allow others");
+		}
+		HttpServerOptions options = new HttpServerOptions()
+			.setHost(this.access.keyed() ? this.settings.getNode().getAddress() : LOOPBACK)
+			.setPort(this.settings.getEdge().getAdminPort())
+			.setMaxHeaderSize(MAX_HEADER_BYTES)
+			.setIdleTimeout(IDLE_TIMEOUT_SECONDS);
 		this.server = this.vertx.createHttpServer(options).requestHandler(this::handle);
 		return this.server.listen().map(HttpServer::actualPort);
 	}
@@ -85,91 +99,111 @@
 	 * @return completes when everything is closed
 	 */
 	public Future<Void> stop() {
-		return this.server.close();
+		return (this.server != null) ? this.server.close() : Future.succeededFuture();
 	}
 
 	private void handle(HttpServerRequest request) {
-		HttpServerResponse response = request.response();
 		switch (request.path()) {
-			case "/live" -> response.end("live\n");
-			case "/ready" -> response.setStatusCode(this.state.ready() ? 200 : 503)
-				.end(this.state.ready() ? "ready\n" : "not ready\n");
+			case "/live" -> OperatorAnswer.text(200, "live\n").send(request.response());
+			case "/ready" -> this.status.ready().send(request.response());
 			case "/metrics" ->
-				response.putHeader("content-type", "text/plain; version=0.0.4").end(MetricsText.format(this.metrics));
-			case API_PREFIX + "configuration" -> sendMessage(response, this.configuration.applied());
-			case API_PREFIX + "status" -> sendJson(response, 200, status());
-			case API_PREFIX + "changes" -> change(request);
-			case API_PREFIX + "events" -> events(request);
-			default -> sendJson(response, 404, new JsonObject().put("kind", "unknown-path"));
+				new OperatorAnswer(200, "text/plain; version=0.0.4; charset=utf-8", this.parts.metrics().text())
+					.send(request.response());
+			default -> admit(request);
 		}
 	}
 
-	private JsonObject status() {
-		return new JsonObject().put("host", this.settings.getNode().getHost())
-			.put("place", this.settings.getNode().getPlace())
-			.put("revision", this.state.routes().revision())
-			.put("ready", this.state.ready());
-	}
-
-	private void change(HttpServerRequest request) {
-		if (request.method() != HttpMethod.POST) {
-			sendJson(request.response(), 405, new JsonObject().put("kind", "use-post"));
+	private void admit(HttpServerRequest request) {
+		if (!this.access.allows(request.getHeader("Authorization"))) {
+			request.response().putHeader("WWW-Authenticate", "Bearer");
+			OperatorAnswer
+				.error(401, "wrong-key", "The request does not carry the shared key",
+						"Set BALSAMLANE_KEY or --key to [peer] key of the routers")
+				.send(request.response());
 			return;
 		}
-		request.body()
-			.onSuccess((body) -> parse(body, Change.newBuilder())
-				.onSuccess((message) -> this.configuration.submit(((Change.Builder) message).build())
-					.onSuccess((result) -> sendSubmitResult(request.response(), result)))
-				.onFailure((cause) -> sendJson(request.response(), 400,
-						new JsonObject().put("kind", "malformed-change").put("message", cause.getMessage()))));
+		if (this.inProgress.get() >= MAX_CONCURRENT_REQUESTS) {
+			request.response().putHeader("Retry-After", "1");
+			OperatorAnswer
+				.error(503, "too-many-requests", "This router answers " + MAX_CONCURRENT_REQUESTS + " requests already",
+						"Try again, or ask another router")
+				.send(request.response());
+			return;
+		}
+		this.inProgress.incrementAndGet();
+		request.response().endHandler((ended) -> this.inProgress.decrementAndGet());
+		route(request);
 	}
 
-	private static void sendSubmitResult(HttpServerResponse response, SubmitResult result) {
-		if (result instanceof SubmitResult.Stored stored) {
-			sendJson(response, 200, new JsonObject().put("kind", "stored").put("revision", stored.revision()));
+	private void route(HttpServerRequest request) {
+		switch (request.path()) {
+			case API_PREFIX + "configuration" -> get(request, (asked) -> this.configuration.read());
+			case API_PREFIX + "explain" -> get(request, this.configuration::explain);
+			case API_PREFIX + "status" -> get(request, (asked) -> this.status.read());
+			case API_PREFIX + "events" -> get(request, this.status::events);
+			case API_PREFIX + "changes" -> post(request, this.configuration::submit);
+			case API_PREFIX + "preview" -> post(request, this.configuration::preview);
+			case API_PREFIX + "drain" -> post(request, (body) -> this.status.drain());
+			default -> OperatorAnswer
+				.error(404, "unknown-path", "No resource has the path " + request.path(), "See docs/interfaces.md")
+				.send(request.response());
 		}
-		else if (result instanceof SubmitResult.Refused refused) {
-			boolean conflict = refused.reason() instanceof EditResult.Conflict;
-			sendJson(response, conflict ? 409 : 422, new JsonObject().put("kind", conflict ? "conflict" : "invalid")
-				.put("message", refused.reason().toString()));
+	}
+
+	private void get(HttpServerRequest request, Function<HttpServerRequest, Future<OperatorAnswer>> handler) {
+		if (request.method() == HttpMethod.GET) {
+			answer(request, handler.apply(request));
 		}
 		else {
-			String kind = (result instanceof SubmitResult.Undecided) ? "undecided" : "store-unavailable";
-			sendJson(response, 503, new JsonObject().put("kind", kind).put("message", result.toString()));
+			wrongMethod(request, "GET");
 		}
 	}
 
-	private void events(HttpServerRequest request) {
-		EventQuery query = EventQuery.newBuilder()
-			.setRequestId(request.getParam("request", ""))
-			.setSubject(request.getParam("subject", ""))
-			.setRevision(Long.parseLong(request.getParam("revision", "0")))
-			.setLimit(Integer.parseInt(request.getParam("limit", "1000")))
-			.build();
-		sendMessage(request.response(), this.timeline.find(query));
-	}
-
-	private static Future<Message.Builder> parse(Buffer body, Message.Builder builder) {
-		try {
-			JsonFormat.parser().merge(body.toString(), builder);
-			return Future.succeededFuture(builder);
+	private void post(HttpServerRequest request, Function<Buffer, Future<OperatorAnswer>> handler) {
+		if (request.method() == HttpMethod.POST) {
+			body(request).onSuccess((body) -> answer(request, handler.apply(body)));
 		}
-		catch (InvalidProtocolBufferException ex) {
-			return Future.failedFuture(ex);
+		else {
+			wrongMethod(request, "POST");
 		}
 	}
 
-	private static void sendMessage(HttpServerResponse response, MessageOrBuilder message) {
-		try {
-			response.putHeader("content-type", "application/json").end(JsonFormat.printer().print(message));
-		}
-		catch (InvalidProtocolBufferException ex) {
-			throw new IllegalStateException("A message of the schema cannot be printed", ex);
-		}
+	private static void wrongMethod(HttpServerRequest request, String method) {
+		request.response().putHeader("Allow", method);
+		OperatorAnswer.error(405, "wrong-method", request.path() + " does not allow this method", "Use " + method)
+			.send(request.response());
+	}
+
+	private static void answer(HttpServerRequest request, Future<OperatorAnswer> answer) {
+		answer.onSuccess((result) -> result.send(request.response())).onFailure((cause) -> {
+			logger.log(Level.ERROR, "An operator's request failed: " + request.path(), cause);
+			OperatorAnswer
+				.error(500, "internal-error", "The request failed inside the router", "Look at the log of this router")
+				.send(request.response());
+		});
 	}
 
-	private static void sendJson(HttpServerResponse response, int status, JsonObject json) {
-		response.setStatusCode(status).putHeader("content-type", "application/json").end(json.encode());
+	private static Future<Buffer> body(HttpServerRequest request) {
+		Promise<Buffer> promise = Promise.promise();
+		Buffer body = Buffer.buffer();
+		request.handler((part) -> {
+			if (body.length() + part.length() <= MAX_BODY_BYTES) {
+				body.appendBuffer(part);
+			}
+			else if (!request.response().ended()) {
+				request.response().putHeader("Connection", "close");
+				OperatorAnswer
+					.error(413, "body-too-large", "The body is larger than " + MAX_BODY_BYTES + " bytes",
+							"Send fewer objects in one change")
+					.send(request.response());
+			}
+		});
+		request.endHandler((end) -> {
+			if (!request.response().ended()) {
+				promise.complete(body);
+			}
+		});
+		return promise.future();
 	}
 
 }
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/OperatorParts.java
@@ -0,0 +1,40 @@
+package io.balsamlane.router.admin;
+
+import java.util.Objects;
+import java.util.function.Supplier;
+
+import io.balsamlane.core.model.HostList;
+import io.balsamlane.router.RouterState;
+import io.balsamlane.router.configuration.ConfigurationKeeper;
+import io.balsamlane.router.metrics.RouterMetrics;
+import io.balsamlane.router.peer.PeerNetwork;
+import io.balsamlane.router.timeline.EventGatherer;
+
+/**
+ * Parts of the daemon that operators can ask.
+ *
+ * @param state the routes in force
+ * @param configuration the configuration in force
+ * @param hosts the host list in use
+ * @param network the other routers
+ * @param events events of all routers
+ * @param metrics metrics of this process
+ * @param inProgress number of requests in progress
+ * @param drain begins an orderly stop of this process
+ */
+public record OperatorParts(RouterState state, ConfigurationKeeper configuration, Supplier<HostList> hosts,
+		PeerNetwork network, EventGatherer events, RouterMetrics metrics, Supplier<Integer> inProgress,
+		Runnable drain) {
+
+	public OperatorParts {
+		Objects.requireNonNull(state, "state");
+		Objects.requireNonNull(configuration, "configuration");
+		Objects.requireNonNull(hosts, "hosts");
+		Objects.requireNonNull(network, "network");
+		Objects.requireNonNull(events, "events");
+		Objects.requireNonNull(metrics, "metrics");
+		Objects.requireNonNull(inProgress, "inProgress");
+		Objects.requireNonNull(drain, "drain");
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/Latency.java
@@ -0,0 +1,34 @@
+package io.balsamlane.router.metrics;
+
+import java.util.concurrent.atomic.LongAdder;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
+
+/**
+ * Distribution of a time over the last minutes, with the sum that collectors need for an
+ * average.
+ */
+final class Latency extends Histogram {
+
+	private final LongAdder sumNanos = new LongAdder();
+
+	private Latency() {
+		super(LockFreeExponentiallyDecayingReservoir.builder().build());
+	}
+
+	static Latency create() {
+		return new Latency();
+	}
+
+	@Override
+	public void update(long nanos) {
+		super.update(nanos);
+		this.sumNanos.add(nanos);
+	}
+
+	long sumNanos() {
+		return this.sumNanos.sum();
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/MeteredGrantService.java
@@ -0,0 +1,48 @@
+package io.balsamlane.router.metrics;
+
+import io.balsamlane.core.routing.Route;
+import io.balsamlane.router.decision.GrantService;
+import io.balsamlane.schema.GrantReply;
+import io.balsamlane.schema.GrantRequest;
+import io.balsamlane.schema.GrantUpdate;
+import io.vertx.core.Future;
+
+/**
+ * Reports each decision of a grant service to the metrics.
+ */
+public final class MeteredGrantService implements GrantService {
+
+	private final GrantService grants;
+
+	private final RouterMetrics metrics;
+
+	private MeteredGrantService(GrantService grants, RouterMetrics metrics) {
+		this.grants = grants;
+		this.metrics = metrics;
+	}
+
+	/**
+	 * Wraps a grant service.
+	 * @param grants the grant service
+	 * @param metrics receives the decisions
+	 * @return the wrapped grant service
+	 */
+	public static GrantService of(GrantService grants, RouterMetrics metrics) {
+		return new MeteredGrantService(grants, metrics);
+	}
+
+	@Override
+	public Future<GrantReply> request(GrantRequest request, Route.ToEngines route) {
+		if (request.getAttempt() > 1) {
+			this.metrics.retried("attempt");
+		}
+		return this.grants.request(request, route)
+			.onSuccess((reply) -> this.metrics.grantDecided(reply.getGranted() ? "granted" : reply.getRefusalKind()));
+	}
+
+	@Override
+	public void update(GrantUpdate update) {
+		this.grants.update(update);
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics of the daemon and their text form for collectors.
+ */
+package io.balsamlane.router.metrics;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/timeline/Timeline.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/timeline/Timeline.java
@@ -1,12 +1,15 @@
 package io.balsamlane.router.timeline;
 
-import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.List;
+import java.util.Objects;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 import io.balsamlane.core.time.HybridClock;
+import io.balsamlane.router.metrics.RingMetric;
 import io.balsamlane.schema.Event;
 import io.balsamlane.schema.EventKind;
 import io.balsamlane.schema.EventQuery;
@@ -15,6 +18,9 @@
 /**
  * Bounded record of what this process did, ordered by hybrid logical time. Safe for use
  * by several threads.
+ * <p>
+ * Recording stores one small object in an array ring under a short lock; the message of
+ * the schema is built only when events are read.
  */
 public final class Timeline {
 
@@ -22,20 +28,22 @@
 
 	private final String host;
 
-	private final int capacityEvents;
-
 	private final LongSupplier epochMillis;
 
 	private final HybridClock clock = HybridClock.create();
 
-	private final Deque<Event> events = new ArrayDeque<>();
+	private final Entry[] ring;
+
+	private volatile RingMetric metric;
 
-	private long overwritten;
+	private int next;
+
+	private long recorded;
 
 	private Timeline(String host, int capacityEvents, LongSupplier epochMillis) {
-		this.host = host;
-		this.capacityEvents = capacityEvents;
-		this.epochMillis = epochMillis;
+		this.host = Objects.requireNonNull(host, "host");
+		this.epochMillis = Objects.requireNonNull(epochMillis, "epochMillis");
+		this.ring = new Entry[capacityEvents];
 	}
 
 	/**
@@ -49,6 +57,14 @@
 		return new Timeline(host, capacityEvents, epochMillis);
 	}
 
+	/**
+	 * Sets the metric that follows the size of the ring.
+	 * @param metric receives the size
+	 */
+	public void setMetric(RingMetric metric) {
+		this.metric = metric;
+	}
+
 	/**
 	 * Records an event.
 	 * @param kind what happened
@@ -57,13 +73,8 @@
 	 * @param subject the server, member or pool, empty if none
 	 * @param detail free text
 	 */
-	public synchronized void record(EventKind kind, String requestId, int attempt, String subject, String detail) {
-		add(Event.newBuilder()
-			.setKind(kind)
-			.setRequestId(requestId)
-			.setAttempt(attempt)
-			.setSubject(subject)
-			.setDetail(detail));
+	public void record(EventKind kind, String requestId, int attempt, String subject, String detail) {
+		add(kind, requestId, attempt, subject, 0, detail);
 	}
 
 	/**
@@ -72,16 +83,21 @@
 	 * @param revision the revision
 	 * @param detail free text
 	 */
-	public synchronized void recordRevision(EventKind kind, long revision, String detail) {
-		add(Event.newBuilder().setKind(kind).setRevision(revision).setDetail(detail));
+	public void recordRevision(EventKind kind, long revision, String detail) {
+		add(kind, "", 0, "", revision, detail);
 	}
 
-	private void add(Event.Builder event) {
-		if (this.events.size() == this.capacityEvents) {
-			this.events.remove();
-			this.overwritten++;
+	private void add(EventKind kind, String requestId, int attempt, String subject, long revision, String detail) {
+		long millis = this.epochMillis.getAsLong();
+		synchronized (this) {
+			this.ring[this.next] = new Entry(this.clock.tick(millis), kind, requestId, attempt, subject, revision,
+					detail);
+			this.next = (this.next + 1 < this.ring.length) ? this.next + 1 : 0;
+			this.recorded++;
+			if (this.metric != null && this.recorded <= this.ring.length) {
+				this.metric.observe((int) this.recorded);
+			}
 		}
-		this.events.add(event.setHost(this.host).setHybridTime(this.clock.tick(this.epochMillis.getAsLong())).build());
 	}
 
 	/**
@@ -101,28 +117,95 @@
 	}
 
 	/**
-	 * Finds events.
+	 * Returns the number of events kept.
+	 * @return the events
+	 */
+	public synchronized int size() {
+		return (int) Math.min(this.recorded, this.ring.length);
+	}
+
+	/**
+	 * Finds events of this process.
 	 * @param query the conditions; empty fields match everything
 	 * @return the newest matching events, oldest first
 	 */
-	public synchronized EventReply find(EventQuery query) {
-		int limit = (query.getLimit() > 0) ? query.getLimit() : DEFAULT_LIMIT;
-		List<Event> found = this.events.stream().filter((event) -> matches(query, event)).toList();
+	public EventReply find(EventQuery query) {
+		Entry[] entries;
+		long total;
+		synchronized (this) {
+			entries = Arrays.copyOf(this.ring, this.ring.length);
+			total = this.recorded;
+		}
+		boolean hostMatches = query.getHost().isEmpty() || query.getHost().equals(this.host);
+		List<Event> found = Stream.of(entries)
+			.filter((entry) -> entry != null && hostMatches && entry.matches(query))
+			.sorted(Comparator.comparingLong(Entry::hybridTime))
+			.map((entry) -> entry.toEvent(this.host))
+			.toList();
 		return EventReply.newBuilder()
-			.addAllEvents(found.stream()
-				.skip(Math.max(0, found.size() - limit))
-				.sorted(Comparator.comparingLong(Event::getHybridTime))
-				.toList())
-			.setOverwritten(this.overwritten)
+			.addAllEvents(newest(found, query))
+			.setOverwritten(Math.max(0, total - entries.length))
+			.addAnswered(this.host)
 			.build();
 	}
 
-	private static boolean matches(EventQuery query, Event event) {
-		return (query.getRequestId().isEmpty() || query.getRequestId().equals(event.getRequestId()))
-				&& (query.getSubject().isEmpty() || query.getSubject().equals(event.getSubject()))
-				&& (query.getRevision() == 0 || query.getRevision() == event.getRevision())
-				&& query.getFromHybridTime() <= event.getHybridTime()
-				&& (query.getToHybridTime() == 0 || event.getHybridTime() <= query.getToHybridTime());
+	/**
+	 * Merges the events of several processes.
+	 * @param query the query that they answered
+	 * @param replies their answers
+	 * @return the newest events in causal order, each once
+	 */
+	public static EventReply merge(EventQuery query, List<EventReply> replies) {
+		List<Event> events = replies.stream()
+			.flatMap((reply) -> reply.getEventsList().stream())
+			.distinct()
+			.sorted(Comparator.comparingLong(Event::getHybridTime).thenComparing(Event::getHost))
+			.toList();
+		List<String> answered = replies.stream()
+			.flatMap((reply) -> reply.getAnsweredList().stream())
+			.distinct()
+			.sorted()
+			.toList();
+		List<String> missing = new ArrayList<>(
+				replies.stream().flatMap((reply) -> reply.getMissingList().stream()).distinct().sorted().toList());
+		missing.removeAll(answered);
+		return EventReply.newBuilder()
+			.addAllEvents(newest(events, query))
+			.setOverwritten(replies.stream().mapToLong(EventReply::getOverwritten).sum())
+			.addAllAnswered(answered)
+			.addAllMissing(missing)
+			.build();
+	}
+
+	private static List<Event> newest(List<Event> events, EventQuery query) {
+		int limit = (query.getLimit() > 0) ? query.getLimit() : DEFAULT_LIMIT;
+		return events.subList(Math.max(0, events.size() - limit), events.size());
+	}
+
+	private record Entry(long hybridTime, EventKind kind, String requestId, int attempt, String subject, long revision,
+			String detail) {
+
+		boolean matches(EventQuery query) {
+			return (query.getRequestId().isEmpty() || query.getRequestId().equals(this.requestId))
+					&& (query.getSubject().isEmpty() || this.subject.contains(query.getSubject()))
+					&& (query.getRevision() == 0 || query.getRevision() == this.revision)
+					&& query.getFromHybridTime() <= this.hybridTime
+					&& (query.getToHybridTime() == 0 || this.hybridTime <= query.getToHybridTime());
+		}
+
+		Event toEvent(String host) {
+			return Event.newBuilder()
+				.setHybridTime(this.hybridTime)
+				.setHost(host)
+				.setKind(this.kind)
+				.setRequestId(this.requestId)
+				.setAttempt(this.attempt)
+				.setSubject(this.subject)
+				.setRevision(this.revision)
+				.setDetail(this.detail)
+				.build();
+		}
+
 	}
 
 }
