--- /dev/null
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -0,0 +1,41 @@
+package io.balsamlane.bench;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+
+/**
+ * Experiments by name.
+ */
+final class ExperimentRegistry {
+
+	private final Map<String, Function<MeasureOptions, Experiment>> factories = new TreeMap<>();
+
+	private ExperimentRegistry() {
+	}
+
+	/**
+	 * Returns the registry of all experiments. Each experiment adds one line here.
+	 * @return the registry
+	 */
+	static ExperimentRegistry ofAll() {
+		ExperimentRegistry registry = new ExperimentRegistry();
+		registry.add("path", PathExperiment::create);
+		return registry;
+	}
+
+	private void add(String name, Function<MeasureOptions, Experiment> factory) {
+		this.factories.put(name, factory);
+	}
+
+	Set<String> names() {
+		return this.factories.keySet();
+	}
+
+	Optional<Function<MeasureOptions, Experiment>> find(String name) {
+		return Optional.ofNullable(this.factories.get(name));
+	}
+
+}
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/StandInMain.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/StandInMain.java
@@ -1,13 +1,16 @@
 package io.balsamlane.standin;
 
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 
-import io.balsamlane.standin.engine.EngineCapacity;
 import io.balsamlane.standin.engine.EngineStandIn;
 import io.balsamlane.standin.hosts.HostListStandIn;
 import io.balsamlane.standin.service.PlainServiceStandIn;
 import io.balsamlane.standin.store.PlatformStoreStandIn;
+import io.vertx.core.Future;
+import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonArray;
 import org.apache.commons.cli.CommandLine;
@@ -16,7 +19,8 @@
 import org.apache.commons.cli.ParseException;
 
 /**
- * Runs one stand-in as a process of its own and prints its port.
+ * Runs stand-ins of one kind as a process of its own and prints their ports, one line
+ * each.
  */
 public final class StandInMain {
 
@@ -30,27 +34,48 @@
 	 * @throws Exception if the options are wrong or the port is taken
 	 */
 	public static void main(String[] args) throws Exception {
-		Options options = new Options().addOption(null, "port", true, "port to listen on; 0 lets the kernel choose")
-			.addOption(null, "name", true, "name of the engine or replica")
-			.addOption(null, "lag-millis", true, "lag of the host list")
-			.addOption(null, "service-time-millis", true, "time of one call of a plain service")
-			.addOption(null, "file", true, "JSON file with the hosts");
+		Options options = StandInOptions.all();
 		CommandLine line = parse(options, args);
 		Vertx vertx = Vertx.vertx();
+		int count = Integer.parseInt(line.getOptionValue("count", "1"));
+		for (int number = 1; number <= count; number++) {
+			System.out.println("listening " + start(vertx, args[0], line, number, count));
+		}
+	}
+
+	private static int start(Vertx vertx, String kind, CommandLine line, int number, int count) throws Exception {
 		int port = Integer.parseInt(line.getOptionValue("port", "0"));
-		String name = line.getOptionValue("name", args[0]);
-		StandIn standIn = switch (args[0]) {
+		if (port != 0 && count > 1) {
+			throw new ParseException("Use --port 0 with --count");
+		}
+		String base = line.getOptionValue("name", kind);
+		String name = (count > 1) ? base + "-" + number : base;
+		CompletableFuture<Integer> listening = new CompletableFuture<>();
+		// Each stand-in is a verticle, so that all its handlers and timers share one
+		// event
+		// loop.
+		vertx.deployVerticle(new VerticleBase() {
+			@Override
+			public Future<?> start() throws Exception {
+				return create(this.vertx, kind, line, port, name).start().onSuccess(listening::complete);
+			}
+		}).onFailure(listening::completeExceptionally);
+		return listening.get();
+	}
+
+	private static StandIn create(Vertx vertx, String kind, CommandLine line, int port, String name)
+			throws IOException {
+		return switch (kind) {
 			case "store" -> new PlatformStoreStandIn(vertx, port);
 			case "hosts" -> new HostListStandIn(vertx, port, Long.parseLong(line.getOptionValue("lag-millis", "500")),
 					new JsonArray(Files.readString(Path.of(line.getOptionValue("file")))));
-			case "engine" -> new EngineStandIn(vertx, port, name, EngineCapacity.ofDefaults());
+			case "engine" ->
+				new EngineStandIn(vertx, port, name, StandInOptions.capacity(line), StandInOptions.behaviour(line));
 			case "service" -> new PlainServiceStandIn(vertx, port, name,
 					Long.parseLong(line.getOptionValue("service-time-millis", "5")));
 			default -> throw new IllegalArgumentException(
-					"Unknown stand-in " + args[0] + "; use store, hosts, engine or service");
+					"Unknown stand-in " + kind + "; use store, hosts, engine or service");
 		};
-		int actualPort = standIn.start().toCompletionStage().toCompletableFuture().get();
-		System.out.println("listening " + actualPort);
 	}
 
 	private static CommandLine parse(Options options, String[] args) throws ParseException {
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
@@ -2,17 +2,22 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 import io.balsamlane.standin.AbstractStandIn;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 
 /**
  * Model engine that prefills, exports and imports KV cache, and decodes with continuous
@@ -29,6 +34,11 @@
 
 	private static final double MICROS_PER_MILLI = 1000.0;
 
+	/** Concurrent KV imports from one prefill engine. */
+	private static final int MAX_CONNECTIONS_PER_ENGINE = 256;
+
+	private static final String ENGINE_HEADER = "X-Engine";
+
 	private final String name;
 
 	private final EngineCapacity capacity;
@@ -37,8 +47,18 @@
 
 	private final HttpClient client;
 
+	private final EngineBehaviour behaviour;
+
 	private final PrefixCache prefixCache;
 
+	private final PrefillQueue prefills;
+
+	private final OrderBook orders;
+
+	private final UniformRandomProvider random;
+
+	private final Map<String, Long> exportedBytesByEngine = new TreeMap<>();
+
 	private final Map<String, KvEntry> kvEntries = new LinkedHashMap<>();
 
 	private final Map<String, Sequence> sequences = new LinkedHashMap<>();
@@ -51,8 +71,6 @@
 
 	private int peakPieces;
 
-	private long prefillBusyUntilNanos = System.nanoTime();
-
 	private long linkBusyUntilNanos = System.nanoTime();
 
 	private long nextStepNanos;
@@ -61,6 +79,8 @@
 
 	private long exportedBytes;
 
+	private long wastedPrefillTokens;
+
 	/**
 	 * Creates an engine.
 	 * @param vertx the event loops to use
@@ -69,12 +89,46 @@
 	 * @param capacity the capacity model
 	 */
 	public EngineStandIn(Vertx vertx, int port, String name, EngineCapacity capacity) {
+		this(vertx, port, name, capacity, EngineBehaviour.ofDefaults());
+	}
+
+	/**
+	 * Creates an engine with delays, losses and a fencing rule.
+	 * @param vertx the event loops to use
+	 * @param port the port; 0 lets the kernel choose
+	 * @param name name of this engine
+	 * @param capacity the capacity model
+	 * @param behaviour the behaviour towards its surroundings
+	 */
+	public EngineStandIn(Vertx vertx, int port, String name, EngineCapacity capacity, EngineBehaviour behaviour) {
 		super(vertx, port);
 		this.name = name;
 		this.capacity = capacity;
-		this.client = vertx.createHttpClient();
-		this.prefixCache = new PrefixCache(capacity.cacheBlocks());
-		vertx.setPeriodic(Math.max(1, capacity.reportLagMillis()), (id) -> this.reportedLoad = load());
+		this.behaviour = behaviour;
+		this.client = vertx.createHttpClient(new HttpClientOptions(),
+				new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENGINE));
+		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(behaviour.seed());
+		this.prefixCache = new PrefixCache(capacity.cacheBlocks(), capacity.reportLagMillis(), this::lost);
+		this.prefills = new PrefillQueue(vertx);
+		this.orders = new OrderBook(behaviour.checksFencing());
+		vertx.setPeriodic(reportMillis(), (id) -> publishLoad());
+	}
+
+	private long reportMillis() {
+		// Reports are taken every half of the lag and delayed by the other half, so their
+		// age lies between half of the lag and the lag.
+		return Math.max(1, this.capacity.reportLagMillis() / 2);
+	}
+
+	private void publishLoad() {
+		if (!lost()) {
+			JsonObject report = load();
+			vertx().setTimer(reportMillis(), (id) -> this.reportedLoad = report);
+		}
+	}
+
+	private boolean lost() {
+		return this.behaviour.reportGapShare() > 0 && this.random.nextDouble() < this.behaviour.reportGapShare();
 	}
 
 	@Override
@@ -89,12 +143,29 @@
 		}
 		request.body().onSuccess((body) -> {
 			JsonObject order = body.toJsonObject();
-			switch (path) {
-				case "/v1/prefill" -> prefill(request.response(), order);
-				case "/v1/decode" -> decode(request.response(), order);
-				case "/v1/cancel" -> cancel(request.response(), order.getString("attempt"));
-				default -> sendError(request.response(), 404, "unknown-path");
-			}
+			int oneWayMillis = this.behaviour.delayToRouter(order.getString("attempt", ""));
+			afterMillis(oneWayMillis, () -> post(request.response(), path, order, oneWayMillis));
+		});
+	}
+
+	private void post(HttpServerResponse response, String path, JsonObject order, int oneWayMillis) {
+		switch (path) {
+			case "/v1/prefill" -> prefill(response, order, oneWayMillis);
+			case "/v1/decode" -> decode(response, order, oneWayMillis);
+			case "/v1/cancel" -> cancel(response, order.getString("attempt"));
+			case "/v1/orders" -> order(response, order);
+			default -> sendError(response, 404, "unknown-path");
+		}
+	}
+
+	private void order(HttpServerResponse response, JsonObject order) {
+		if (!this.orders.accept(order)) {
+			sendError(response, 409, "stale-fencing");
+			return;
+		}
+		afterMillis(this.behaviour.orderMillis(), () -> {
+			this.orders.carryOut(order);
+			sendJson(response, 200, "{}");
 		});
 	}
 
@@ -102,12 +173,14 @@
 		HttpServerResponse response = request.response();
 		switch (path) {
 			case "/v1/load" -> sendJson(response, 200, this.reportedLoad.encode());
+			case "/v1/orders" -> sendJson(response, 200, this.orders.state().encode());
 			case "/v1/running" -> sendJson(response, 200, running().encode());
 			case "/v1/cache-events" -> sendJson(response, 200,
 					this.prefixCache.eventsAfter(Long.parseLong(request.getParam("after", "0"))).encode());
 			default -> {
 				if (path.startsWith(KV_PREFIX)) {
-					export(response, path.substring(KV_PREFIX.length()));
+					String engine = request.getHeader(ENGINE_HEADER);
+					export(response, path.substring(KV_PREFIX.length()), (engine != null) ? engine : "");
 				}
 				else {
 					sendError(response, 404, "unknown-path");
@@ -116,7 +189,7 @@
 		}
 	}
 
-	private void prefill(HttpServerResponse response, JsonObject order) {
+	private void prefill(HttpServerResponse response, JsonObject order, int oneWayMillis) {
 		String attempt = order.getString("attempt");
 		String prompt = order.getString("prompt");
 		if (this.faults.leaving()) {
@@ -135,36 +208,32 @@
 		}
 		take(pieces);
 		int reused = this.prefixCache.reuse(parsed.blockHashes()) * EngineCapacity.BLOCK_TOKENS;
-		double seconds = (double) (parsed.tokens() - reused) / this.capacity.prefillTokensPerSecond();
-		long nowNanos = System.nanoTime();
-		this.prefillBusyUntilNanos = Math.max(nowNanos, this.prefillBusyUntilNanos)
-				+ (long) (seconds * 1e9 * this.faults.slowFactor());
-		KvEntry entry = new KvEntry(attempt, parsed, pieces, nowNanos);
+		int tokens = parsed.tokens() - reused;
+		double nanos = 1e9 * tokens / this.capacity.prefillTokensPerSecond() * this.faults.slowFactor();
+		KvEntry entry = new KvEntry(attempt, parsed, tokens, pieces, System.nanoTime());
 		this.kvEntries.put(attempt, entry);
-		afterNanos(this.prefillBusyUntilNanos - nowNanos, () -> {
-			if (this.kvEntries.get(attempt) != entry) {
-				sendError(response, 409, "cancelled");
-				return;
-			}
+		entry.start(this.prefills.add(order.getInteger("priority", 0), tokens, (long) nanos, () -> {
 			entry.setReady();
-			record("prefill", attempt, parsed.tokens() - reused);
+			record("prefill", attempt, tokens);
 			vertx().setTimer(this.capacity.evictionMillis(), (id) -> evict(entry));
-			sendJson(response, 200,
-					new JsonObject().put("kv", attempt)
-						.put("tokens", parsed.tokens())
-						.put("reusedTokens", reused)
-						.encode());
-		});
+			afterMillis(oneWayMillis,
+					() -> sendJson(response, 200,
+							new JsonObject().put("kv", attempt)
+								.put("tokens", parsed.tokens())
+								.put("reusedTokens", reused)
+								.encode()));
+		}), () -> sendError(response, 409, "cancelled"));
 	}
 
 	private void evict(KvEntry entry) {
 		if (!entry.exporting() && this.kvEntries.remove(entry.attempt(), entry)) {
 			release(entry.pieces());
-			record("evicted", entry.attempt(), entry.prompt().tokens());
+			this.wastedPrefillTokens += entry.computedTokens();
+			record("evicted", entry.attempt(), entry.computedTokens());
 		}
 	}
 
-	private void export(HttpServerResponse response, String handle) {
+	private void export(HttpServerResponse response, String handle, String engine) {
 		KvEntry entry = this.kvEntries.get(handle);
 		if (entry == null || !entry.ready()) {
 			sendError(response, 404, "kv-gone");
@@ -178,8 +247,10 @@
 		long nowNanos = System.nanoTime();
 		this.linkBusyUntilNanos = Math.max(nowNanos, this.linkBusyUntilNanos)
 				+ (long) (1e9 * bytes / this.capacity.linkBytesPerSecond());
-		afterNanos(this.linkBusyUntilNanos - nowNanos, () -> {
+		long roundTripNanos = 2_000_000L * this.behaviour.delayToEngine(engine);
+		afterNanos(vertx(), this.linkBusyUntilNanos - nowNanos + roundTripNanos, () -> {
 			this.exportedBytes += bytes;
+			this.exportedBytesByEngine.merge(engine, bytes, Long::sum);
 			if (this.kvEntries.remove(handle, entry)) {
 				release(entry.pieces());
 			}
@@ -187,7 +258,7 @@
 		});
 	}
 
-	private void decode(HttpServerResponse response, JsonObject order) {
+	private void decode(HttpServerResponse response, JsonObject order, int oneWayMillis) {
 		if (this.faults.leaving()) {
 			sendError(response, 503, "leaving");
 			return;
@@ -201,12 +272,12 @@
 		}
 		take(pieces);
 		Sequence sequence = new Sequence(attempt, pieces, order.getInteger("offset", 0), order.getInteger("maxTokens"),
-				response);
+				new DelayedStream(vertx(), response, oneWayMillis));
 		this.sequences.put(attempt, sequence);
 		response.setChunked(true);
 		String[] source = order.getString("kvFrom").split(":");
 		this.client.request(HttpMethod.GET, Integer.parseInt(source[1]), source[0], KV_PREFIX + order.getString("kv"))
-			.compose((request) -> request.send())
+			.compose((request) -> request.putHeader(ENGINE_HEADER, this.name).send())
 			.compose((answer) -> answer.body().map((body) -> imported(answer, body)))
 			.onComplete((imported) -> {
 				if (this.sequences.get(attempt) != sequence) {
@@ -249,7 +320,7 @@
 		double micros = (this.capacity.stepMicros() + active * this.capacity.stepPerSequenceMicros())
 				* this.faults.slowFactor();
 		this.nextStepNanos += (long) (micros * MICROS_PER_MILLI);
-		afterNanos(this.nextStepNanos - System.nanoTime(), this::step);
+		afterNanos(vertx(), this.nextStepNanos - System.nanoTime(), this::step);
 	}
 
 	private void step() {
@@ -275,7 +346,10 @@
 		KvEntry entry = this.kvEntries.remove(attempt);
 		if (entry != null) {
 			release(entry.pieces());
-			record("prefill-cancelled", attempt, entry.prompt().tokens());
+			int wasted = entry.ready() ? entry.computedTokens() : this.prefills.cancel(entry.job());
+			this.wastedPrefillTokens += wasted;
+			record("prefill-cancelled", attempt, wasted);
+			entry.cancelled();
 		}
 		sendJson(response, 200, new JsonObject().put("releasedPieces", before - this.usedPieces).encode());
 	}
@@ -310,7 +384,9 @@
 			.put("peakPieces", this.peakPieces)
 			.put("sequences", this.sequences.size())
 			.put("exportedBytes", this.exportedBytes)
-			.put("prefillQueueMillis", Math.max(0, (this.prefillBusyUntilNanos - System.nanoTime()) / 1_000_000));
+			.put("prefillTokens", this.prefills.computedTokens())
+			.put("wastedPrefillTokens", this.wastedPrefillTokens)
+			.put("prefillQueueMillis", this.prefills.backlogNanos() / 1_000_000);
 	}
 
 	private void record(String what, String attempt, int tokens) {
@@ -323,23 +399,36 @@
 		Runtime.getRuntime().halt(137);
 	}
 
-	private void afterNanos(long nanos, Runnable action) {
-		long millis = Math.round(nanos / 1e6);
+	private void afterMillis(int millis, Runnable action) {
 		if (millis <= 0) {
-			vertx().runOnContext((ignored) -> action.run());
+			action.run();
 		}
 		else {
 			vertx().setTimer(millis, (id) -> action.run());
 		}
 	}
 
+	static void afterNanos(Vertx vertx, long nanos, Runnable action) {
+		long millis = Math.round(nanos / 1e6);
+		if (millis <= 0) {
+			vertx.runOnContext((ignored) -> action.run());
+		}
+		else {
+			vertx.setTimer(millis, (id) -> action.run());
+		}
+	}
+
 	@Override
 	protected void control(HttpServerRequest request) {
 		if (request.method() == HttpMethod.GET) {
-			JsonObject state = load().put("running", running());
+			JsonObject state = load().put("running", running())
+				.put("exportedBytesByEngine", new JsonObject(new TreeMap<String, Object>(this.exportedBytesByEngine)));
 			if (request.path().endsWith("/ledger")) {
 				state.put("ledger", this.ledger);
 			}
+			else if (request.path().endsWith("/orders")) {
+				state.put("orders", this.orders.log());
+			}
 			sendJson(request.response(), 200, state.encode());
 			return;
 		}
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/KvEntry.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/KvEntry.java
@@ -12,17 +12,25 @@
 
 	private final Prompt prompt;
 
+	private final int computedTokens;
+
 	private final int pieces;
 
 	private final long startedNanos;
 
+	private PrefillQueue.Job job;
+
+	private Runnable cancellation = () -> {
+	};
+
 	private boolean ready;
 
 	private boolean exporting;
 
-	KvEntry(String attempt, Prompt prompt, int pieces, long startedNanos) {
+	KvEntry(String attempt, Prompt prompt, int computedTokens, int pieces, long startedNanos) {
 		this.attempt = attempt;
 		this.prompt = prompt;
+		this.computedTokens = computedTokens;
 		this.pieces = pieces;
 		this.startedNanos = startedNanos;
 	}
@@ -39,6 +47,30 @@
 		return this.pieces;
 	}
 
+	/**
+	 * Returns the tokens that the prefill computes, without those from the prefix cache.
+	 * @return the tokens
+	 */
+	int computedTokens() {
+		return this.computedTokens;
+	}
+
+	void start(PrefillQueue.Job started, Runnable onCancel) {
+		this.job = started;
+		this.cancellation = onCancel;
+	}
+
+	PrefillQueue.Job job() {
+		return this.job;
+	}
+
+	/**
+	 * Answers the prefill call of an entry that was cancelled.
+	 */
+	void cancelled() {
+		this.cancellation.run();
+	}
+
 	boolean ready() {
 		return this.ready;
 	}
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/PrefixCache.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/PrefixCache.java
@@ -6,13 +6,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 
 /**
  * Prefix cache with least-recently-used eviction that publishes what it stores and
- * evicts; old events are dropped, so readers see gaps.
+ * evicts. Events become visible after a lag; old and lost ones are missing, so readers
+ * see gaps.
  */
 class PrefixCache {
 
@@ -20,14 +22,20 @@
 
 	private final int capacityBlocks;
 
+	private final long lagNanos;
+
+	private final BooleanSupplier lost;
+
 	private final Map<Integer, Boolean> blocks = new LinkedHashMap<>(16, 0.75f, true);
 
-	private final Deque<JsonObject> events = new ArrayDeque<>();
+	private final Deque<Event> events = new ArrayDeque<>();
 
 	private long nextEvent = 1;
 
-	PrefixCache(int capacityBlocks) {
+	PrefixCache(int capacityBlocks, int lagMillis, BooleanSupplier lost) {
 		this.capacityBlocks = capacityBlocks;
+		this.lagNanos = lagMillis * 1_000_000L;
+		this.lost = lost;
 	}
 
 	/**
@@ -51,15 +59,27 @@
 	}
 
 	private void publish(String what, int hash) {
-		this.events.add(new JsonObject().put("sequence", this.nextEvent++).put("what", what).put("block", hash));
+		long sequence = this.nextEvent++;
+		if (this.lost.getAsBoolean()) {
+			return;
+		}
+		this.events.add(new Event(sequence, System.nanoTime() + this.lagNanos,
+				new JsonObject().put("sequence", sequence).put("what", what).put("block", hash)));
 		if (this.events.size() > MAX_EVENTS) {
 			this.events.remove();
 		}
 	}
 
 	JsonArray eventsAfter(long sequence) {
-		return new JsonArray(
-				this.events.stream().filter((event) -> event.getLong("sequence") > sequence).limit(100).toList());
+		long nowNanos = System.nanoTime();
+		return new JsonArray(this.events.stream()
+			.filter((event) -> event.sequence() > sequence && event.visibleNanos() - nowNanos <= 0)
+			.limit(100)
+			.map(Event::json)
+			.toList());
+	}
+
+	private record Event(long sequence, long visibleNanos, JsonObject json) {
 	}
 
 }
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/Sequence.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/Sequence.java
@@ -1,6 +1,5 @@
 package io.balsamlane.standin.engine;
 
-import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 
 /**
@@ -14,7 +13,7 @@
 
 	private final int maxTokens;
 
-	private final HttpServerResponse response;
+	private final DelayedStream stream;
 
 	private final long startedNanos = System.nanoTime();
 
@@ -24,13 +23,13 @@
 
 	private Prompt prompt;
 
-	Sequence(String attempt, int pieces, int offset, int maxTokens, HttpServerResponse response) {
+	Sequence(String attempt, int pieces, int offset, int maxTokens, DelayedStream stream) {
 		this.attempt = attempt;
 		this.pieces = pieces;
 		this.firstOffset = offset;
 		this.offset = offset;
 		this.maxTokens = maxTokens;
-		this.response = response;
+		this.stream = stream;
 	}
 
 	String attempt() {
@@ -67,26 +66,20 @@
 		}
 		send(mute, new JsonObject().put("finish", (length < this.maxTokens) ? "stop" : "length")
 			.put("offset", this.offset));
-		if (open() && !mute) {
-			this.response.end();
+		if (!mute) {
+			this.stream.end();
 		}
 		return false;
 	}
 
 	private void send(boolean mute, JsonObject line) {
-		if (open() && !mute) {
-			this.response.write(line.encode() + "\n");
+		if (!mute) {
+			this.stream.write(line.encode() + "\n");
 		}
 	}
 
 	void abort() {
-		if (open()) {
-			this.response.reset();
-		}
-	}
-
-	private boolean open() {
-		return !this.response.ended() && !this.response.closed();
+		this.stream.reset();
 	}
 
 	JsonObject toJson(long nowNanos) {
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/fleet/Fleet.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/fleet/Fleet.java
@@ -97,6 +97,37 @@
 		return backend(name, "engine", pool, place, region, options);
 	}
 
+	/**
+	 * Starts several engines in one process and lists them as {@code NAME-1},
+	 * {@code NAME-2} and so on.
+	 * @param name name of the process
+	 * @param pool name of their pool
+	 * @param place place they stand in
+	 * @param region region of the place
+	 * @param count number of engines
+	 * @param options further options of the stand-ins
+	 * @return their ports
+	 */
+	public List<Integer> engines(String name, String pool, String place, String region, int count, String... options) {
+		List<String> args = new ArrayList<>(List.of("engine", "--name", name, "--count", Integer.toString(count)));
+		args.addAll(List.of(options));
+		ChildProcess process = ChildProcess.start(name, this.directory, STAND_IN_JVM,
+				"io.balsamlane.standin.StandInMain", args);
+		this.standIns.put(name, process);
+		Pattern all = Pattern.compile("(?:listening \\d+\\s+){" + count + "}");
+		await(name + " listens", Duration.ofSeconds(30), () -> all.matcher(process.output()).find());
+		List<Integer> found = LISTENING.matcher(process.output())
+			.results()
+			.map((match) -> Integer.parseInt(match.group(1)))
+			.toList();
+		for (int i = 0; i < count; i++) {
+			String engine = (count > 1) ? name + "-" + (i + 1) : name;
+			this.ports.put(engine, found.get(i));
+			list(engine, "engine", pool, place, region, found.get(i));
+		}
+		return found;
+	}
+
 	/**
 	 * Starts a replica of a plain service and lists it.
 	 * @param name name of the replica
