Membership heals partitions faster; experiment for its slopes

Change: a node that refutes its removal tells the sender at once, up to four datagrams of fresh statements go out per tick, a statement is passed on 4 + log2(n) instead of 4 + 3 log2(n) times, and a table that still differs is exchanged after half a probe round without changes.

--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -23,6 +23,7 @@
 	static ExperimentRegistry ofAll() {
 		ExperimentRegistry registry = new ExperimentRegistry();
 		registry.add("path", PathExperiment::create);
+		registry.add("slopes", SlopesExperiment::create);
 		return registry;
 	}
 
--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/Dissemination.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/Dissemination.java
@@ -1,5 +1,6 @@
 package io.balsamlane.core.membership;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import io.balsamlane.core.model.Endpoint;
@@ -23,7 +24,11 @@
 	 */
 	private static final int PUSH_RECEIVERS = 4;
 
-	private static final int RETRANSMIT_FACTOR = 3;
+	/**
+	 * Datagrams with fresh statements per tick and receiver; after a partition a whole
+	 * half of the fleet is fresh.
+	 */
+	private static final int PUSH_BATCHES = 4;
 
 	private final MembershipSettings settings;
 
@@ -123,18 +128,18 @@
 	}
 
 	private List<MemberUpdate> takeUpdates(Probe.Builder probe, int receivers) {
-		int maxSent = PUSH_RECEIVERS
-				+ RETRANSMIT_FACTOR * (Integer.SIZE - Integer.numberOfLeadingZeros(this.table.living() + 1));
+		int maxSent = PUSH_RECEIVERS + Integer.SIZE - Integer.numberOfLeadingZeros(this.table.living() + 1);
 		return this.queue.take(UpdateQueue.leftBytes(probe, this.settings.datagramBytes()), receivers, maxSent);
 	}
 
 	// Sends statements and a revision that nobody has received from this node yet to some
 	// members at once, rather than with the next probes.
 	List<MembershipAction.Send> push(long nowNanos) {
-		if (!this.revisionFresh && !this.queue.hasFresh()) {
-			return List.of();
+		List<MembershipAction.Send> sends = new ArrayList<>();
+		for (int i = 0; i < PUSH_BATCHES && (this.revisionFresh || this.queue.hasFresh()); i++) {
+			sends.addAll(pushTo(this.order.sample(PUSH_RECEIVERS, ""), nowNanos));
 		}
-		return pushTo(this.order.sample(PUSH_RECEIVERS, ""), nowNanos);
+		return sends;
 	}
 
 	private List<MembershipAction.Send> pushTo(List<MemberEntry> receivers, long nowNanos) {
--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/FailureDetector.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/FailureDetector.java
@@ -79,7 +79,7 @@
 					.setAdminPort(adminPort)
 					.build());
 		this.probeNanos = settings.probeMillis() * 1_000_000;
-		this.synchronization = new SynchronizeSchedule(2 * this.probeNanos, nowNanos);
+		this.synchronization = new SynchronizeSchedule(this.probeNanos / 2, nowNanos);
 		this.lastNanos = nowNanos;
 		this.nextProbeNanos = nowNanos + random.nextLong(this.probeNanos);
 		this.peerContactNanos = nowNanos;
@@ -293,6 +293,7 @@
 	 */
 	public List<MembershipAction> received(Probe probe, Endpoint from, long nowNanos) {
 		List<MembershipAction> actions = begin(nowNanos);
+		long incarnation = this.dissemination.self().getIncarnation();
 		NodeId sender = probe.getFrom();
 		if (!MemberEntry.validHost(sender.getHost()) || sender.getHost().equals(this.host)) {
 			return finish(actions, nowNanos);
@@ -316,6 +317,11 @@
 			heard(probe, sender, actions, nowNanos);
 		}
 		answer(probe, from, actions, nowNanos);
+		if (this.dissemination.self().getIncarnation() != incarnation) {
+			// The sender may be the only node of its side that this one can reach.
+			actions.add(this.dissemination.send(from, sender.getHost(),
+					this.dissemination.header(Probe.Kind.UPDATE, 0, nowNanos)));
+		}
 		return finish(actions, nowNanos);
 	}
 
