Schedulers behind GrantService in the daemon

Cause: each router picked engines alone, without accounts of memory. Change: decision thread with a bounded ring owns the schedulers; entry routers ask the domain's owner, renew and register grants and fall back to two choices; engine observer; baselines selectable by [scheduling] policy; load reports of the engine stand-in carry prefill speed and link rate.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/Scheduler.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/Scheduler.java
@@ -389,10 +389,14 @@
 		GrantReply reply = active.getReply();
 		String key = key(reply.getRequestId(), reply.getAttempt());
 		Grant known = this.ledger.find(key);
-		if (known != null) {
+		if (known != null && sameEngines(known.reply, reply)) {
 			known.renewedNanos = nowNanos;
 			return;
 		}
+		if (known != null) {
+			// The entry router did not see the grant in time and picked other engines.
+			this.ledger.remove(known, nowNanos);
+		}
 		if (!reply.getGranted() || this.ledger.size() >= this.parameters.maxGrants()) {
 			return;
 		}
@@ -417,6 +421,11 @@
 		this.ledger.add(grant, nowNanos);
 	}
 
+	private static boolean sameEngines(GrantReply one, GrantReply other) {
+		return one.getPrefillServer().equals(other.getPrefillServer())
+				&& one.getDecodeServer().equals(other.getDecodeServer());
+	}
+
 	/**
 	 * Ends what has expired, looks for stragglers and serves the queue. To be called
 	 * every few milliseconds.
--- a/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/SchedulerParameters.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/SchedulerParameters.java
@@ -36,7 +36,7 @@
 	 * @return the parameters
 	 */
 	public static SchedulerParameters ofDefaults() {
-		return of(2048, 256, 1100, 35);
+		return of(2048, 256, 1100, 35, 3000);
 	}
 
 	/**
@@ -45,12 +45,14 @@
 	 * @param maxQueued most requests that wait
 	 * @param firstTokenMillis first-token target where a request gives none
 	 * @param betweenTokensMillis target between tokens where a request gives none
+	 * @param grantMillis a grant that is not renewed for this time expires
 	 * @return the parameters
 	 */
-	public static SchedulerParameters of(int pieceTokens, int maxQueued, int firstTokenMillis,
-			int betweenTokensMillis) {
+	public static SchedulerParameters of(int pieceTokens, int maxQueued, int firstTokenMillis, int betweenTokensMillis,
+			int grantMillis) {
 		return new SchedulerParameters(pieceTokens, 256, maxQueued, 32_768, 2048, 65_536, firstTokenMillis,
-				betweenTokensMillis, 3000, 400, 60, false, new EngineLoad("", 60, 0, 10_000, 160_000, 10_000_000_000L));
+				betweenTokensMillis, grantMillis, 400, 60, false,
+				new EngineLoad("", 60, 0, 10_000, 160_000, 10_000_000_000L));
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -5,16 +5,20 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
+import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
-import io.balsamlane.router.decision.GrantService;
-import io.balsamlane.router.decision.LocalGrantService;
+import io.balsamlane.router.decision.ModelScheduling;
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
+import io.balsamlane.router.peer.PeerNetwork;
+import io.balsamlane.router.peer.StandalonePeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
 import io.balsamlane.router.store.PlatformStore;
@@ -25,7 +29,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import org.apache.commons.rng.simple.RandomSource;
 
 /**
  * One router process: creates its parts, starts them and stops them in order.
@@ -50,6 +53,8 @@
 
 	private final HostListReader hostReader;
 
+	private final ModelScheduling scheduling;
+
 	private final CallerServer callers;
 
 	private final AdminServer admin;
@@ -66,9 +71,8 @@
 		this.configuration = ConfigurationKeeper.create(vertx, store, settings.getStore().getRetryPauseMillis(),
 				this::applied);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
-		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
-				settings.getScheduling().getPieceTokens());
-		this.callers = CallerServer.create(vertx, settings, this.state, grants,
+		this.scheduling = ModelScheduling.create(vertx, network(settings), settings);
+		this.callers = CallerServer.create(vertx, settings, this.state, this.scheduling.grants(),
 				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS), SingleKeyIntentService.create(store),
 				this.timeline);
 		this.admin = AdminServer.create(vertx, settings, this.state, this.configuration, this.timeline, metrics());
@@ -84,10 +88,17 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
+	private static PeerNetwork network(Settings settings) {
+		return StandalonePeerNetwork.create(new Member(HostName.of(settings.getNode().getHost()),
+				System.currentTimeMillis(), Place.of(settings.getNode().getPlace()),
+				Endpoint.of(settings.getNode().getAddress(), Math.max(1, settings.getPeer().getPort()))));
+	}
+
 	private MetricRegistry metrics() {
 		MetricRegistry registry = new MetricRegistry();
 		registry.register("configuration_revision", (Gauge<Long>) () -> this.state.routes().revision());
 		registry.register("requests_in_progress", (Gauge<Integer>) () -> this.callers.inProgress());
+		this.scheduling.registerMetrics(registry);
 		return registry;
 	}
 
@@ -97,6 +108,7 @@
 	 */
 	public Future<Ports> start() {
 		this.timeline.record(EventKind.PROCESS_STARTED, "", 0, this.settings.getNode().getHost(), "");
+		this.scheduling.start();
 		this.configuration.start();
 		this.hostReader.start();
 		return this.callers.start()
@@ -120,6 +132,7 @@
 		return drained.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
+			this.scheduling.stop();
 			return this.callers.stop();
 		}).compose((done) -> this.admin.stop());
 	}
@@ -135,6 +148,7 @@
 
 	private synchronized void applied(Configuration next) {
 		this.state.setRoutes(routes(next));
+		this.scheduling.setTopology(next, this.hosts);
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
 	}
@@ -142,6 +156,7 @@
 	private synchronized void hostsChanged(HostList next) {
 		this.hosts = next;
 		this.state.setRoutes(routes(this.configuration.applied()));
+		this.scheduling.setTopology(this.configuration.applied(), next);
 	}
 
 	private RouteTable routes(Configuration next) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/decision/LocalGrantService.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/decision/LocalGrantService.java
@@ -8,20 +8,21 @@
 
 import io.balsamlane.core.model.BackendServer;
 import io.balsamlane.core.routing.Route;
+import io.balsamlane.core.scheduling.EnginePolicy;
 import io.balsamlane.schema.GrantReply;
 import io.balsamlane.schema.GrantRequest;
 import io.balsamlane.schema.GrantUpdate;
 import io.vertx.core.Future;
-import org.apache.commons.rng.UniformRandomProvider;
 
 /**
- * Picks the better of two random engines by the work that this router has given them.
+ * Picks engines by the work that this router alone has given them. Safe for use by
+ * several threads.
  */
 public final class LocalGrantService implements GrantService {
 
 	private static final int RETRY_AFTER_MILLIS = 1000;
 
-	private final UniformRandomProvider random;
+	private final EnginePolicy policy;
 
 	private final int pieceTokens;
 
@@ -29,44 +30,57 @@
 
 	private final Map<String, GrantReply> grants = new HashMap<>();
 
-	private LocalGrantService(UniformRandomProvider random, int pieceTokens) {
-		this.random = random;
+	private LocalGrantService(EnginePolicy policy, int pieceTokens) {
+		this.policy = policy;
 		this.pieceTokens = pieceTokens;
 	}
 
 	/**
 	 * Creates the service.
-	 * @param random source of the random choices
+	 * @param policy picks one engine
 	 * @param pieceTokens tokens in one piece of engine memory
 	 * @return the service
 	 */
-	public static LocalGrantService create(UniformRandomProvider random, int pieceTokens) {
-		return new LocalGrantService(random, pieceTokens);
+	public static LocalGrantService create(EnginePolicy policy, int pieceTokens) {
+		return new LocalGrantService(policy, pieceTokens);
 	}
 
 	@Override
 	public Future<GrantReply> request(GrantRequest request, Route.ToEngines route) {
+		return Future.succeededFuture(decide(request, route));
+	}
+
+	synchronized GrantReply decide(GrantRequest request, Route.ToEngines route) {
 		GrantReply.Builder reply = GrantReply.newBuilder()
 			.setRequestId(request.getRequestId())
 			.setAttempt(request.getAttempt());
 		Optional<String> prefill = choose(route.prefill(), request.getExcludedServersList());
 		Optional<String> decode = choose(route.decode(), request.getExcludedServersList());
 		if (prefill.isEmpty() || decode.isEmpty()) {
-			return Future.succeededFuture(reply.setRefusalKind("no-engine")
+			return reply.setRefusalKind("no-engine")
 				.setReason("no engine is left that has not failed for this request")
 				.setRetryAfterMillis(RETRY_AFTER_MILLIS)
-				.build());
+				.build();
 		}
 		int pieces = (request.getPromptTokens() + request.getMaxTokens() + this.pieceTokens - 1) / this.pieceTokens;
 		GrantReply granted = reply.setGranted(true)
 			.setPrefillServer(prefill.get())
 			.setDecodeServer(decode.get())
 			.setReservedPieces(pieces)
-			.setReason("least outstanding of two random engines")
+			.setReason("picked by this router alone")
 			.build();
-		this.grants.put(key(request.getRequestId(), request.getAttempt()), granted);
-		servers(granted).forEach((server) -> this.outstanding.merge(server, 1, Integer::sum));
-		return Future.succeededFuture(granted);
+		adopt(granted);
+		return granted;
+	}
+
+	/**
+	 * Counts a grant that a scheduler made as outstanding work.
+	 * @param granted the grant
+	 */
+	synchronized void adopt(GrantReply granted) {
+		if (this.grants.put(key(granted.getRequestId(), granted.getAttempt()), granted) == null) {
+			servers(granted).forEach((server) -> this.outstanding.merge(server, 1, Integer::sum));
+		}
 	}
 
 	private Optional<String> choose(List<BackendServer> servers, List<String> excluded) {
@@ -77,17 +91,11 @@
 		if (names.isEmpty()) {
 			return Optional.empty();
 		}
-		String first = names.get(this.random.nextInt(names.size()));
-		String second = names.get(this.random.nextInt(names.size()));
-		return Optional.of((load(second) < load(first)) ? second : first);
-	}
-
-	private int load(String server) {
-		return this.outstanding.getOrDefault(server, 0);
+		return Optional.of(this.policy.choose(names, (server) -> this.outstanding.getOrDefault(server, 0)));
 	}
 
 	@Override
-	public void update(GrantUpdate update) {
+	public synchronized void update(GrantUpdate update) {
 		if (update.getKind() != GrantUpdate.Kind.RELEASED && update.getKind() != GrantUpdate.Kind.FAILED) {
 			return;
 		}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineObserver.java
@@ -0,0 +1,136 @@
+package io.balsamlane.router.engine;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.scheduling.CacheEvent;
+import io.balsamlane.core.scheduling.EngineFacts;
+import io.balsamlane.core.scheduling.EngineLoad;
+import io.balsamlane.schema.EngineRole;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * Reads load reports and cache events of the engines whose scheduler runs on this router.
+ * An engine that does not answer is skipped until the next read.
+ */
+public final class EngineObserver {
+
+	private static final int TIMEOUT_MILLIS = 1000;
+
+	private final Vertx vertx;
+
+	private final HttpClient client;
+
+	private final Supplier<List<EngineFacts>> engines;
+
+	private final Function<String, Optional<Endpoint>> endpoints;
+
+	private final BiConsumer<EngineFacts, EngineLoad> loads;
+
+	private final BiConsumer<EngineFacts, List<CacheEvent>> caches;
+
+	private Map<String, Long> sequences = new HashMap<>();
+
+	private long timer = -1;
+
+	private EngineObserver(Vertx vertx, Supplier<List<EngineFacts>> engines,
+			Function<String, Optional<Endpoint>> endpoints, BiConsumer<EngineFacts, EngineLoad> loads,
+			BiConsumer<EngineFacts, List<CacheEvent>> caches) {
+		this.vertx = vertx;
+		this.client = vertx.createHttpClient();
+		this.engines = engines;
+		this.endpoints = endpoints;
+		this.loads = loads;
+		this.caches = caches;
+	}
+
+	/**
+	 * Creates an observer.
+	 * @param vertx the event loops to use
+	 * @param engines the engines to read
+	 * @param endpoints finds the address of an engine
+	 * @param loads receives load reports
+	 * @param caches receives changes of prefix caches, oldest first
+	 * @return the observer
+	 */
+	public static EngineObserver create(Vertx vertx, Supplier<List<EngineFacts>> engines,
+			Function<String, Optional<Endpoint>> endpoints, BiConsumer<EngineFacts, EngineLoad> loads,
+			BiConsumer<EngineFacts, List<CacheEvent>> caches) {
+		return new EngineObserver(vertx, engines, endpoints, loads, caches);
+	}
+
+	/**
+	 * Starts reading.
+	 * @param intervalMillis time between two reads of an engine
+	 */
+	public void start(long intervalMillis) {
+		this.timer = this.vertx.setPeriodic(intervalMillis, (id) -> readAll());
+	}
+
+	/**
+	 * Stops reading.
+	 */
+	public void stop() {
+		this.vertx.cancelTimer(this.timer);
+	}
+
+	private void readAll() {
+		List<EngineFacts> present = this.engines.get();
+		Map<String, Long> kept = new HashMap<>();
+		present.forEach((engine) -> this.endpoints.apply(engine.name()).ifPresent((endpoint) -> {
+			kept.put(engine.name(), this.sequences.getOrDefault(engine.name(), 0L));
+			get(endpoint, "/v1/load").onSuccess((body) -> this.loads.accept(engine, load(engine, body)));
+			if (engine.role() == EngineRole.PREFILL) {
+				get(endpoint, "/v1/cache-events?after=" + kept.get(engine.name()))
+					.onSuccess((body) -> readEvents(engine, body));
+			}
+		}));
+		this.sequences = kept;
+	}
+
+	private Future<Buffer> get(Endpoint endpoint, String uri) {
+		RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET)
+			.setHost(endpoint.address())
+			.setPort(endpoint.port())
+			.setURI(uri);
+		return this.client.request(options)
+			.compose((request) -> request.send())
+			.compose((response) -> (response.statusCode() == 200) ? response.body()
+					: Future.failedFuture("status " + response.statusCode()))
+			.timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private static EngineLoad load(EngineFacts engine, Buffer body) {
+		JsonObject json = body.toJsonObject();
+		return new EngineLoad(engine.name(), json.getInteger("memoryPieces", 0), json.getInteger("usedPieces", 0),
+				json.getInteger("prefillTokensPerSecond", 0), json.getInteger("kvBytesPerToken", 0),
+				json.getLong("linkBytesPerSecond", 0L));
+	}
+
+	private void readEvents(EngineFacts engine, Buffer body) {
+		List<CacheEvent> events = new JsonArray(body).stream()
+			.map((item) -> (JsonObject) item)
+			.map((json) -> new CacheEvent(json.getLong("sequence"), "stored".equals(json.getString("what")),
+					json.getLong("block")))
+			.toList();
+		if (!events.isEmpty()) {
+			this.sequences.put(engine.name(), events.get(events.size() - 1).sequence());
+			this.caches.accept(engine, events);
+		}
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/settings/SettingsLoader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/settings/SettingsLoader.java
@@ -104,6 +104,10 @@
 			value = options.getDefaultValue();
 		}
 		if (field.getJavaType() == JavaType.STRING) {
+			if (options.getAllowedCount() > 0 && !options.getAllowedList().contains(value.trim())) {
+				error(key, value, "is not an allowed value; use " + String.join(", ", options.getAllowedList()));
+				return;
+			}
 			builder.setField(field, value.trim());
 			return;
 		}
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
@@ -310,6 +310,9 @@
 			.put("peakPieces", this.peakPieces)
 			.put("sequences", this.sequences.size())
 			.put("exportedBytes", this.exportedBytes)
+			.put("prefillTokensPerSecond", this.capacity.prefillTokensPerSecond())
+			.put("kvBytesPerToken", this.capacity.kvBytesPerToken())
+			.put("linkBytesPerSecond", this.capacity.linkBytesPerSecond())
 			.put("prefillQueueMillis", Math.max(0, (this.prefillBusyUntilNanos - System.nanoTime()) / 1_000_000));
 	}
 
