--- /dev/null
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements with real processes and stand-ins of known capacity.
+ */
+package io.balsamlane.bench;
--- /dev/null
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/scheduling/SchedulingModel.java
@@ -0,0 +1,344 @@
+package io.balsamlane.bench.scheduling;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.stream.IntStream;
+
+import io.balsamlane.core.model.Place;
+import io.balsamlane.core.scheduling.EngineFacts;
+import io.balsamlane.core.scheduling.EngineLoad;
+import io.balsamlane.core.scheduling.EnginePolicy;
+import io.balsamlane.core.scheduling.Scheduler;
+import io.balsamlane.core.scheduling.SchedulerParameters;
+import io.balsamlane.schema.EngineRole;
+import io.balsamlane.schema.GrantReply;
+import io.balsamlane.schema.GrantRequest;
+import io.balsamlane.schema.GrantUpdate;
+import org.HdrHistogram.Histogram;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Discrete-event model of one place: the real {@link Scheduler} or a baseline places
+ * requests on engines by the stand-in's rules. Its figures are those of a model, not
+ * measurements.
+ */
+public final class SchedulingModel {
+
+	/** One way between entry router and scheduler or engine. */
+	private static final long MESSAGE_NANOS = 1_500_000L;
+
+	private static final long TICK_NANOS = 10_000_000L;
+
+	private static final int MAX_ATTEMPTS = 3;
+
+	private static final int PREFIXES = 8;
+
+	private static final int BLOCKS = ModelPlan.PREFIX_TOKENS / 256;
+
+	private final ModelPlan plan;
+
+	private final UniformRandomProvider random;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::nanos).thenComparingLong(Event::number));
+
+	private final Map<String, ModelEngine> engines = new LinkedHashMap<>();
+
+	private final Map<String, Integer> outstanding = new HashMap<>();
+
+	private final Map<String, ModelRequest> waiting = new HashMap<>();
+
+	private final List<String> prefillNames;
+
+	private final List<String> decodeNames;
+
+	private final EnginePolicy baseline;
+
+	private final Scheduler scheduler;
+
+	private final Histogram firstTokens = new Histogram(3);
+
+	private final Histogram totals = new Histogram(3);
+
+	private long nowNanos;
+
+	private long eventNumber;
+
+	private long prefilledTokens;
+
+	private long wastedTokens;
+
+	private int offered;
+
+	private int served;
+
+	private int refused;
+
+	private int late;
+
+	private int swingOffered;
+
+	private int swingServed;
+
+	private SchedulingModel(ModelPlan plan, long seed) {
+		this.plan = plan;
+		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+		this.prefillNames = names("prefill-", plan.prefillEngines());
+		this.decodeNames = names("decode-", plan.decodeEngines());
+		boolean scheduled = plan.policy().equals("scheduler");
+		this.baseline = scheduled ? null : EnginePolicy.of(plan.policy(), this.random);
+		this.scheduler = Scheduler.create(SchedulerParameters.ofDefaults(), this.random, 0);
+		this.scheduler.setEngines(this.engines.keySet().stream().map(SchedulingModel::facts).toList(), 0);
+		this.engines.values().forEach(this::report);
+	}
+
+	/**
+	 * Runs the model.
+	 * @param plan what is run
+	 * @param seed seed of arrivals, lengths and ties
+	 * @return the figures
+	 */
+	public static ModelResult run(ModelPlan plan, long seed) {
+		return new SchedulingModel(plan, seed).run();
+	}
+
+	private List<String> names(String prefix, int count) {
+		List<String> names = IntStream.range(0, count).mapToObj((number) -> prefix + number).toList();
+		names.forEach((name) -> this.engines.put(name, new ModelEngine(name, this.plan.capacity())));
+		return names;
+	}
+
+	private static EngineFacts facts(String name) {
+		boolean prefill = name.startsWith("prefill");
+		return new EngineFacts(name, prefill ? "prefill" : "decode", prefill ? EngineRole.PREFILL : EngineRole.DECODE,
+				"model", Place.of("place"), "region");
+	}
+
+	private void report(ModelEngine engine) {
+		this.scheduler.observeLoad(new EngineLoad(engine.name, engine.capacity.memoryPieces(), engine.usedPieces,
+				engine.capacity.prefillTokensPerSecond(), engine.capacity.kvBytesPerToken(),
+				engine.capacity.linkBytesPerSecond()), this.nowNanos);
+	}
+
+	private ModelResult run() {
+		long endNanos = (long) (this.plan.seconds() * 1e9);
+		arrive(endNanos);
+		at(TICK_NANOS, () -> tick(endNanos + 10_000_000_000L));
+		at(endNanos / 4, this::slowDown);
+		while (!this.events.isEmpty()) {
+			Event event = this.events.remove();
+			this.nowNanos = event.nanos();
+			event.action().run();
+		}
+		return new ModelResult(this.offered, this.served, this.refused, this.late,
+				(double) this.wastedTokens / Math.max(1, this.prefilledTokens), this.swingOffered, this.swingServed,
+				this.firstTokens.getValueAtPercentile(99) / 1e3, this.totals.getValueAtPercentile(99) / 1e3);
+	}
+
+	private void at(long nanos, Runnable action) {
+		this.events.add(new Event(Math.max(nanos, this.nowNanos), this.eventNumber++, action));
+	}
+
+	private void after(long nanos, Runnable action) {
+		at(this.nowNanos + nanos, action);
+	}
+
+	private void slowDown() {
+		slow(this.prefillNames);
+		slow(this.decodeNames);
+	}
+
+	private void slow(List<String> names) {
+		names.stream()
+			.limit((long) (names.size() * this.plan.slowShare()))
+			.forEach((name) -> this.engines.get(name).slowFactor = 5);
+	}
+
+	private void tick(long untilNanos) {
+		if (this.baseline == null) {
+			this.waiting.values()
+				.forEach((request) -> deliver(this.scheduler.request(message(request), this.nowNanos)));
+			deliver(this.scheduler.tick(this.nowNanos));
+		}
+		if (this.nowNanos < untilNanos) {
+			after(TICK_NANOS, () -> tick(untilNanos));
+		}
+	}
+
+	private void arrive(long endNanos) {
+		boolean swing = this.nowNanos >= endNanos * 2 / 5 && this.nowNanos < endNanos * 3 / 5;
+		double perSecond = this.plan.capacityPerSecond() * this.plan.load() * (swing ? this.plan.swingFactor() : 1);
+		long gapNanos = (long) (-Math.log(1 - this.random.nextDouble()) / perSecond * 1e9);
+		after(gapNanos, () -> {
+			if (this.nowNanos >= endNanos) {
+				return;
+			}
+			arrive(endNanos);
+			this.offered++;
+			this.swingOffered += swing ? 1 : 0;
+			ModelRequest request = new ModelRequest("r" + this.offered, "caller" + this.random.nextInt(4),
+					this.nowNanos, ModelPlan.PREFIX_TOKENS + ownTokens(), this.random.nextInt(PREFIXES),
+					this.random.nextInt(ModelPlan.SHORTEST_ANSWER, ModelPlan.LONGEST_ANSWER + 1), swing);
+			ask(request);
+		});
+	}
+
+	private int ownTokens() {
+		double normal = Math.sqrt(-2 * Math.log(1 - this.random.nextDouble()))
+				* Math.cos(2 * Math.PI * this.random.nextDouble());
+		return (int) Math.min(8 * ModelPlan.OWN_TOKENS, ModelPlan.OWN_TOKENS * Math.exp(ModelPlan.SIGMA * normal));
+	}
+
+	private GrantRequest message(ModelRequest request) {
+		long deadlineNanos = request.arrivedNanos + (long) (ModelPlan.FIRST_TOKEN_SECONDS * 1e9);
+		GrantRequest.Builder message = GrantRequest.newBuilder()
+			.setRequestId(request.id)
+			.setAttempt(request.attempt)
+			.setCaller(request.caller)
+			.setPromptTokens(request.tokens)
+			.setMaxTokens(ModelPlan.MAX_TOKENS)
+			.setBetweenTokensMillis((int) (ModelPlan.BETWEEN_TOKENS_SECONDS * 1000))
+			.setFirstTokenRemainingMillis((int) Math.max(1, (deadlineNanos - this.nowNanos) / 1_000_000));
+		IntStream.range(0, BLOCKS).forEach((block) -> message.addPrefixHashes(request.prefix * 1000L + block + 1));
+		return message.build();
+	}
+
+	private void ask(ModelRequest request) {
+		if (this.baseline != null) {
+			String prefill = this.baseline.choose(this.prefillNames, (name) -> this.outstanding.getOrDefault(name, 0));
+			String decode = this.baseline.choose(this.decodeNames, (name) -> this.outstanding.getOrDefault(name, 0));
+			this.outstanding.merge(prefill, 1, Integer::sum);
+			this.outstanding.merge(decode, 1, Integer::sum);
+			granted(request,
+					GrantReply.newBuilder().setGranted(true).setPrefillServer(prefill).setDecodeServer(decode).build());
+			return;
+		}
+		after(MESSAGE_NANOS, () -> {
+			this.waiting.put(request.id, request);
+			deliver(this.scheduler.request(message(request), this.nowNanos));
+		});
+	}
+
+	private void deliver(List<GrantReply> replies) {
+		for (GrantReply reply : new ArrayList<>(replies)) {
+			after(0, () -> {
+				ModelRequest request = this.waiting.remove(reply.getRequestId());
+				if (request != null) {
+					after(MESSAGE_NANOS, () -> granted(request, reply));
+				}
+			});
+		}
+	}
+
+	private void granted(ModelRequest request, GrantReply reply) {
+		if (!reply.getGranted()) {
+			this.refused++;
+			return;
+		}
+		request.grant = reply;
+		ModelEngine engine = this.engines.get(reply.getPrefillServer());
+		after(MESSAGE_NANOS, () -> {
+			if (!engine.take(request.prefillPieces())) {
+				after(MESSAGE_NANOS, () -> failed(request, engine));
+				return;
+			}
+			this.prefilledTokens += request.tokens;
+			at(engine.prefill(request, this.nowNanos), () -> after(2 * MESSAGE_NANOS, () -> prefilled(request)));
+		});
+	}
+
+	private void prefilled(ModelRequest request) {
+		update(request, GrantUpdate.Kind.PREFILL_DONE, 0, "");
+		ModelEngine prefill = this.engines.get(request.grant.getPrefillServer());
+		ModelEngine decode = this.engines.get(request.grant.getDecodeServer());
+		if (!decode.take(request.decodePieces())) {
+			prefill.usedPieces -= request.prefillPieces();
+			this.wastedTokens += request.tokens;
+			after(MESSAGE_NANOS, () -> failed(request, decode));
+			return;
+		}
+		at(prefill.export(request, this.nowNanos), () -> {
+			prefill.usedPieces -= request.prefillPieces();
+			decode.batch.add(request);
+			if (!decode.stepping) {
+				decode.stepping = true;
+				after(decode.stepNanos(), () -> step(decode));
+			}
+		});
+	}
+
+	private void step(ModelEngine engine) {
+		for (ModelRequest request : new ArrayList<>(engine.batch)) {
+			if (request.generated < request.answer) {
+				request.generated++;
+				if (request.generated == 1) {
+					request.firstTokenNanos = this.nowNanos;
+					update(request, GrantUpdate.Kind.FIRST_TOKEN, 0, "");
+				}
+			}
+			else {
+				engine.batch.remove(request);
+				engine.usedPieces -= request.decodePieces();
+				finished(request);
+			}
+		}
+		engine.stepping = !engine.batch.isEmpty();
+		if (engine.stepping) {
+			after(engine.stepNanos(), () -> step(engine));
+		}
+	}
+
+	private void finished(ModelRequest request) {
+		double firstSeconds = (request.firstTokenNanos - request.arrivedNanos) / 1e9;
+		double betweenSeconds = (this.nowNanos - request.firstTokenNanos) / 1e9 / request.answer;
+		boolean good = firstSeconds <= ModelPlan.FIRST_TOKEN_SECONDS
+				&& betweenSeconds <= ModelPlan.BETWEEN_TOKENS_SECONDS;
+		this.served += good ? 1 : 0;
+		this.late += good ? 0 : 1;
+		this.swingServed += (good && request.inSwing) ? 1 : 0;
+		this.firstTokens.recordValue((long) (firstSeconds * 1e6));
+		this.totals.recordValue((this.nowNanos - request.arrivedNanos) / 1000);
+		update(request, GrantUpdate.Kind.RELEASED, (int) (betweenSeconds * 1e6), "");
+	}
+
+	private void failed(ModelRequest request, ModelEngine engine) {
+		update(request, GrantUpdate.Kind.FAILED, 0, engine.name);
+		if (++request.attempt > MAX_ATTEMPTS) {
+			this.late++;
+			return;
+		}
+		ask(request);
+	}
+
+	private void update(ModelRequest request, GrantUpdate.Kind kind, int betweenMicros, String server) {
+		GrantReply grant = request.grant;
+		int attempt = request.attempt;
+		int generated = request.generated;
+		if (this.baseline != null) {
+			if (kind == GrantUpdate.Kind.RELEASED || kind == GrantUpdate.Kind.FAILED) {
+				this.outstanding.merge(grant.getPrefillServer(), -1, Integer::sum);
+				this.outstanding.merge(grant.getDecodeServer(), -1, Integer::sum);
+			}
+			return;
+		}
+		after(MESSAGE_NANOS,
+				() -> deliver(this.scheduler.update(GrantUpdate.newBuilder()
+					.setRequestId(request.id)
+					.setAttempt(attempt)
+					.setKind(kind)
+					.setServer(server)
+					.setGeneratedTokens(generated)
+					.setBetweenTokensMicros(betweenMicros)
+					.build(), this.nowNanos)));
+	}
+
+	private record Event(long nanos, long number, Runnable action) {
+	}
+
+}
--- a/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/Placement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/Placement.java
@@ -16,12 +16,17 @@
 	private static final int MAX_BLOCKS = 256;
 
 	/**
-	 * Grants between two probes of a straggler. Below 1 in 100, so that probes do not
+	 * Grants between two probes of stragglers. Far below 1 in 100, so that probes do not
 	 * show in the 99th percentile.
 	 */
-	private static final int GRANTS_PER_PROBE = 150;
+	private static final int GRANTS_PER_PROBE = 400;
 
-	private static final long PROBE_NANOS = 10_000_000_000L;
+	/**
+	 * Grants between two probes while requests wait, when a recovered engine is needed.
+	 */
+	private static final int GRANTS_PER_URGENT_PROBE = 50;
+
+	private static final long PROBE_NANOS = 30_000_000_000L;
 
 	private final SchedulerParameters parameters;
 
@@ -84,7 +89,8 @@
 	Outcome choose(GrantRequest request, int decodePieces, long deadlineNanos, double queueNanos, long nowNanos) {
 		this.decision++;
 		exclude(request.getExcludedServersList());
-		boolean probe = this.grantsSinceProbe >= GRANTS_PER_PROBE || nowNanos - this.probedNanos > PROBE_NANOS;
+		int between = (queueNanos > 0) ? GRANTS_PER_URGENT_PROBE : GRANTS_PER_PROBE;
+		boolean probe = this.grantsSinceProbe >= between || nowNanos - this.probedNanos > PROBE_NANOS;
 		allow(request.getDecodePoolsList());
 		double targetMicros = 1000.0 * ((request.getBetweenTokensMillis() > 0) ? request.getBetweenTokensMillis()
 				: this.parameters.betweenTokensMillis());
--- a/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/SchedulerParameters.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/SchedulerParameters.java
@@ -51,7 +51,7 @@
 	public static SchedulerParameters of(int pieceTokens, int maxQueued, int firstTokenMillis, int betweenTokensMillis,
 			int grantMillis) {
 		return new SchedulerParameters(pieceTokens, 256, maxQueued, 32_768, 2048, 65_536, firstTokenMillis,
-				betweenTokensMillis, grantMillis, 400, 60, false,
+				betweenTokensMillis, grantMillis, 400, 40, false,
 				new EngineLoad("", 60, 0, 10_000, 160_000, 10_000_000_000L));
 	}
 
