Decision experiment with the load of the whole fleet

Cause: the first version kept every domain overloaded. Change: engines and requests scale to 5,500 requests/s, with an overloaded case.

--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/DecisionExperiment.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/DecisionExperiment.java
@@ -34,9 +34,10 @@
  * engines in its domain.
  * <p>
  * The worst case is one domain that holds the whole fleet: 600 replicas of 8 accelerators
- * each, 4,800 in all. A real domain is a part of it. Engines are kept about 70% full;
- * prompts of 1,024 to 9,000 tokens share one of 500 prefixes. In the overloaded case the
- * queue is full as well.
+ * each, 4,800 in all. A real domain is a part of it. A request holds its engines for 0.9
+ * s, so that the decode memory is about 80% full at 5,500 requests/s; prompts of 1,024 to
+ * 9,000 tokens share one of 500 prefixes. In the overloaded case 1.6 times as many
+ * arrive.
  */
 public final class DecisionExperiment {
 
@@ -48,8 +49,19 @@
 
 	private static final int MEASURED = 100_000;
 
+	private static final int FLEET = 600;
+
+	/** Time between two requests for the whole fleet at 5,500 requests/s. */
 	private static final long GAP_NANOS = 180_000;
 
+	private static final double OVERLOAD = 1.6;
+
+	private static final long PREFILL_NANOS = 40_000_000;
+
+	private static final long HOLD_NANOS = 900_000_000;
+
+	private static final long TICK_NANOS = 10_000_000;
+
 	private final long seed;
 
 	private final Path out;
@@ -88,15 +100,17 @@
 		List<EngineFacts> facts = IntStream.range(0, replicas).mapToObj(DecisionExperiment::facts).toList();
 		scheduler.setEngines(facts, 0);
 		facts.forEach((fact) -> scheduler
-			.observeLoad(new EngineLoad(fact.name(), 60, 0, 10_000, 160_000, 10_000_000_000L), 0));
-		Deque<GrantReply> live = new ArrayDeque<>();
-		int maxLive = overloaded ? Integer.MAX_VALUE : replicas / 2 * 10;
+			.observeLoad(new EngineLoad(fact.name(), 60, 0, 200_000, 160_000, 100_000_000_000L), 0));
+		Deque<Running> prefilling = new ArrayDeque<>();
+		Deque<Running> decoding = new ArrayDeque<>();
 		Histogram nanos = new Histogram(3);
 		com.sun.management.ThreadMXBean threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
+		long gapNanos = (long) (GAP_NANOS * (double) FLEET / replicas / (overloaded ? OVERLOAD : 1));
 		long allocated = 0;
 		long nowNanos = 0;
 		for (int i = 0; i < WARM_UP + MEASURED; i++) {
-			nowNanos += GAP_NANOS;
+			nowNanos += gapNanos;
+			finish(scheduler, prefilling, decoding, nowNanos, random);
 			GrantRequest request = request(random, i);
 			long allocatedBefore = threads.getCurrentThreadAllocatedBytes();
 			long start = System.nanoTime();
@@ -106,13 +120,9 @@
 				nanos.recordValue(end - start);
 				allocated += threads.getCurrentThreadAllocatedBytes() - allocatedBefore;
 			}
-			keep(replies, live);
-			int freed = overloaded ? i % 2 : Math.min(1, Math.max(0, live.size() - maxLive));
-			for (int j = 0; j < freed && !live.isEmpty(); j++) {
-				release(scheduler, live, nowNanos, random);
-			}
-			if (i % 50 == 0) {
-				keep(scheduler.tick(nowNanos), live);
+			keep(replies, prefilling, nowNanos);
+			if (nowNanos / TICK_NANOS != (nowNanos - gapNanos) / TICK_NANOS) {
+				keep(scheduler.tick(nowNanos), prefilling, nowNanos);
 			}
 		}
 		this.rows.add(new double[] { replicas, replicas * ACCELERATORS_PER_REPLICA, overloaded ? 1 : 0,
@@ -123,20 +133,34 @@
 		System.out.println(line(row));
 	}
 
-	private static void release(Scheduler scheduler, Deque<GrantReply> live, long nowNanos,
+	private static void finish(Scheduler scheduler, Deque<Running> prefilling, Deque<Running> decoding, long nowNanos,
 			UniformRandomProvider random) {
-		GrantReply oldest = live.remove();
-		GrantUpdate.Builder update = GrantUpdate.newBuilder().setRequestId(oldest.getRequestId()).setAttempt(1);
-		keep(scheduler.update(update.setKind(GrantUpdate.Kind.PREFILL_DONE).build(), nowNanos), live);
-		keep(scheduler.update(update.setKind(GrantUpdate.Kind.FIRST_TOKEN).build(), nowNanos), live);
-		keep(scheduler.update(update.setKind(GrantUpdate.Kind.RELEASED)
-			.setGeneratedTokens(20 + random.nextInt(60))
-			.setBetweenTokensMicros(20_000)
-			.build(), nowNanos), live);
+		while (!prefilling.isEmpty() && nowNanos - prefilling.peek().grantedNanos() > PREFILL_NANOS) {
+			Running running = prefilling.remove();
+			decoding.add(running);
+			GrantUpdate.Builder update = update(running);
+			keep(scheduler.update(update.setKind(GrantUpdate.Kind.PREFILL_DONE).build(), nowNanos), prefilling,
+					nowNanos);
+			keep(scheduler.update(update.setKind(GrantUpdate.Kind.FIRST_TOKEN).build(), nowNanos), prefilling,
+					nowNanos);
+		}
+		while (!decoding.isEmpty() && nowNanos - decoding.peek().grantedNanos() > HOLD_NANOS) {
+			GrantUpdate.Builder update = update(decoding.remove());
+			keep(scheduler.update(update.setKind(GrantUpdate.Kind.RELEASED)
+				.setGeneratedTokens(20 + random.nextInt(60))
+				.setBetweenTokensMicros(20_000)
+				.build(), nowNanos), prefilling, nowNanos);
+		}
+	}
+
+	private static GrantUpdate.Builder update(Running running) {
+		return GrantUpdate.newBuilder().setRequestId(running.reply().getRequestId()).setAttempt(1);
 	}
 
-	private static void keep(List<GrantReply> replies, Deque<GrantReply> live) {
-		replies.stream().filter(GrantReply::getGranted).forEach(live::add);
+	private static void keep(List<GrantReply> replies, Deque<Running> prefilling, long nowNanos) {
+		replies.stream()
+			.filter(GrantReply::getGranted)
+			.forEach((reply) -> prefilling.add(new Running(reply, nowNanos)));
 	}
 
 	private static EngineFacts facts(int number) {
@@ -199,4 +223,7 @@
 				chosen.stream().mapToDouble((row) -> row[4]).toArray());
 	}
 
+	private record Running(GrantReply reply, long grantedNanos) {
+	}
+
 }
