--- a/balsamlane-router/src/main/java/io/balsamlane/router/decision/ModelScheduling.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/decision/ModelScheduling.java
@@ -4,8 +4,6 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
-import com.codahale.metrics.Gauge;
-import com.codahale.metrics.MetricRegistry;
 import io.balsamlane.core.model.BackendServer;
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
@@ -13,6 +11,7 @@
 import io.balsamlane.core.scheduling.EnginePolicy;
 import io.balsamlane.core.scheduling.SchedulerParameters;
 import io.balsamlane.router.engine.EngineObserver;
+import io.balsamlane.router.metrics.RouterMetrics;
 import io.balsamlane.router.peer.PeerNetwork;
 import io.balsamlane.schema.Configuration;
 import io.balsamlane.schema.SchedulingSettings;
@@ -126,13 +125,11 @@
 
 	/**
 	 * Adds the metrics of these parts.
-	 * @param registry receives the metrics
+	 * @param metrics receives the metrics
 	 */
-	public void registerMetrics(MetricRegistry registry) {
-		registry.register("scheduler_live_grants", (Gauge<Integer>) this.host::liveGrants);
-		registry.register("scheduler_waiting_requests", (Gauge<Integer>) this.host::waiting);
-		registry.register("scheduler_fallbacks", (Gauge<Long>) this.domains::fallbacks);
-		registry.register("cross_region_bytes", (Gauge<Long>) this.domains::crossRegionBytes);
+	public void registerMetrics(RouterMetrics metrics) {
+		metrics.scheduling(this.host::liveGrants, this.host::waiting, this.domains::fallbacks,
+				this.domains::crossRegionBytes);
 	}
 
 }
