--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -23,6 +23,8 @@
 	static ExperimentRegistry ofAll() {
 		ExperimentRegistry registry = new ExperimentRegistry();
 		registry.add("path", PathExperiment::create);
+		registry.add("goodput", GoodputExperiment::create);
+		registry.add("waste", GoodputExperiment::createWithCancels);
 		return registry;
 	}
 
--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/load/CallSource.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/load/CallSource.java
@@ -55,10 +55,17 @@
 		// The number makes each prompt, and so each answer, different from all others.
 		String text = prefix + "n" + index + " " + words(own - 1);
 		Prompt parsed = Prompt.parse(text);
-		int cancelAfter = (this.random.nextDouble() < this.workload.cancelShare())
-				? this.random.nextInt(LATEST_CANCEL_TOKENS) : -1;
 		return new ModelCall(index, dueNanos, this.workload.model(), token, text, parsed.tokens(), own,
-				this.workload.maxTokens(), parsed.answer(this.workload.maxTokens()), cancelAfter);
+				this.workload.maxTokens(), parsed.answer(this.workload.maxTokens()), cancelAfterTokens());
+	}
+
+	private int cancelAfterTokens() {
+		// Half of the cancellations come before the first token, when a prefill may be
+		// wasted.
+		if (this.random.nextDouble() >= this.workload.cancelShare()) {
+			return -1;
+		}
+		return this.random.nextBoolean() ? 0 : 1 + this.random.nextInt(LATEST_CANCEL_TOKENS);
 	}
 
 	private int ownTokens() {
--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/load/LoadGenerator.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/load/LoadGenerator.java
@@ -32,7 +32,7 @@
 	/**
 	 * Time after which a call that is to be cancelled before its first token is closed.
 	 */
-	private static final int EARLY_CANCEL_MILLIS = 100;
+	public static final int EARLY_CANCEL_MILLIS = 100;
 
 	private final List<Lane> lanes;
 
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/DelayedStream.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/DelayedStream.java
@@ -1,5 +1,7 @@
 package io.balsamlane.standin.engine;
 
+import java.util.function.IntConsumer;
+
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerResponse;
 
@@ -14,13 +16,17 @@
 
 	private final int oneWayMillis;
 
-	DelayedStream(Vertx vertx, HttpServerResponse response, int oneWayMillis) {
+	private final IntConsumer writtenBytes;
+
+	DelayedStream(Vertx vertx, HttpServerResponse response, int oneWayMillis, IntConsumer writtenBytes) {
 		this.vertx = vertx;
 		this.response = response;
 		this.oneWayMillis = oneWayMillis;
+		this.writtenBytes = writtenBytes;
 	}
 
 	void write(String line) {
+		this.writtenBytes.accept(line.length());
 		later(() -> this.response.write(line));
 	}
 
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.TreeMap;
 
 import io.balsamlane.standin.AbstractStandIn;
 import io.vertx.core.Vertx;
@@ -57,8 +56,6 @@
 
 	private final UniformRandomProvider random;
 
-	private final Map<String, Long> exportedBytesByEngine = new TreeMap<>();
-
 	private final Map<String, KvEntry> kvEntries = new LinkedHashMap<>();
 
 	private final Map<String, Sequence> sequences = new LinkedHashMap<>();
@@ -81,6 +78,9 @@
 
 	private long wastedPrefillTokens;
 
+	/** Bytes to and from hosts to which there is a delay. */
+	private long farBytes;
+
 	/**
 	 * Creates an engine.
 	 * @param vertx the event loops to use
@@ -144,10 +144,17 @@
 		request.body().onSuccess((body) -> {
 			JsonObject order = body.toJsonObject();
 			int oneWayMillis = this.behaviour.delayToRouter(order.getString("attempt", ""));
+			countFar(oneWayMillis, body.length());
 			afterMillis(oneWayMillis, () -> post(request.response(), path, order, oneWayMillis));
 		});
 	}
 
+	private void countFar(int oneWayMillis, long bytes) {
+		if (oneWayMillis > 0) {
+			this.farBytes += bytes;
+		}
+	}
+
 	private void post(HttpServerResponse response, String path, JsonObject order, int oneWayMillis) {
 		switch (path) {
 			case "/v1/prefill" -> prefill(response, order, oneWayMillis);
@@ -250,7 +257,7 @@
 		long roundTripNanos = 2_000_000L * this.behaviour.delayToEngine(engine);
 		afterNanos(vertx(), this.linkBusyUntilNanos - nowNanos + roundTripNanos, () -> {
 			this.exportedBytes += bytes;
-			this.exportedBytesByEngine.merge(engine, bytes, Long::sum);
+			countFar(this.behaviour.delayToEngine(engine), bytes);
 			if (this.kvEntries.remove(handle, entry)) {
 				release(entry.pieces());
 			}
@@ -272,7 +279,7 @@
 		}
 		take(pieces);
 		Sequence sequence = new Sequence(attempt, pieces, order.getInteger("offset", 0), order.getInteger("maxTokens"),
-				new DelayedStream(vertx(), response, oneWayMillis));
+				new DelayedStream(vertx(), response, oneWayMillis, (bytes) -> countFar(oneWayMillis, bytes)));
 		this.sequences.put(attempt, sequence);
 		response.setChunked(true);
 		String[] source = order.getString("kvFrom").split(":");
@@ -421,8 +428,7 @@
 	@Override
 	protected void control(HttpServerRequest request) {
 		if (request.method() == HttpMethod.GET) {
-			JsonObject state = load().put("running", running())
-				.put("exportedBytesByEngine", new JsonObject(new TreeMap<String, Object>(this.exportedBytesByEngine)));
+			JsonObject state = load().put("running", running()).put("farBytes", this.farBytes);
 			if (request.path().endsWith("/ledger")) {
 				state.put("ledger", this.ledger);
 			}
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/fleet/Fleet.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/fleet/Fleet.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,7 +25,8 @@
  * Stand-ins and routers as separate processes on loopback.
  * <p>
  * The platform store and the host list start with the fleet. The host list is published
- * again after each process that joins or leaves. Everything ends with {@link #close()}.
+ * again after each process that joins or leaves. Processes may be started from several
+ * threads. Everything ends with {@link #close()}.
  */
 public final class Fleet implements AutoCloseable {
 
@@ -44,13 +46,13 @@
 
 	private final FleetHttp http = FleetHttp.create();
 
-	private final Map<String, ChildProcess> standIns = new LinkedHashMap<>();
+	private final Map<String, ChildProcess> standIns = Collections.synchronizedMap(new LinkedHashMap<>());
 
-	private final Map<String, Integer> ports = new LinkedHashMap<>();
+	private final Map<String, Integer> ports = Collections.synchronizedMap(new LinkedHashMap<>());
 
 	private final Map<String, JsonObject> hosts = new LinkedHashMap<>();
 
-	private final Map<String, RouterProcess> routers = new LinkedHashMap<>();
+	private final Map<String, RouterProcess> routers = Collections.synchronizedMap(new LinkedHashMap<>());
 
 	private Fleet(Path directory) {
 		this.directory = directory;
@@ -149,7 +151,7 @@
 		return port;
 	}
 
-	private void list(String name, String kind, String group, String place, String region, int port) {
+	private synchronized void list(String name, String kind, String group, String place, String region, int port) {
 		this.hosts.put(name,
 				new JsonObject().put("host", name)
 					.put("kind", kind)
@@ -166,7 +168,7 @@
 	 * Shows a host as leaving, after the lag of the host list.
 	 * @param name name of the host
 	 */
-	public void markLeaving(String name) {
+	public synchronized void markLeaving(String name) {
 		this.hosts.get(name).put("state", "leaving");
 		publishHosts();
 	}
@@ -175,7 +177,7 @@
 	 * Removes a host from the host list, after its lag.
 	 * @param name name of the host
 	 */
-	public void unlist(String name) {
+	public synchronized void unlist(String name) {
 		this.hosts.remove(name);
 		publishHosts();
 	}
