--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/Deployment.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/Deployment.java
@@ -149,7 +149,7 @@
 		return states.stream().mapToLong((state) -> state.getLong(counter)).sum();
 	}
 
-	private List<String> engineNames() {
+	List<String> engineNames() {
 		List<String> names = new ArrayList<>();
 		this.plan.places().forEach((place) -> names.addAll(DeploymentPlan.engines(place)));
 		return names;
--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -25,6 +25,9 @@
 		registry.add("path", PathExperiment::create);
 		registry.add("goodput", GoodputExperiment::create);
 		registry.add("waste", GoodputExperiment::createWithCancels);
+		registry.add("swing", SwingExperiment::create);
+		registry.add("stragglers", StragglersExperiment::create);
+		registry.add("recovery", RecoveryExperiment::create);
 		return registry;
 	}
 
--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/PathExperiment.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/PathExperiment.java
@@ -143,7 +143,8 @@
 		quantile("added time to first token, median", straight.firstToken(), through.firstToken(), 50, detail);
 		quantile("added time to first token, p99", straight.firstToken(), through.firstToken(), 99, detail);
 		quantile("added to p95 between tokens, median", straight.p95Gap(), through.p95Gap(), 50, detail);
-		this.table.row("router cores at this load", cores, "cores", "load tool " + report.generatorCores() + " cores");
+		this.table.row("router cores at this load", cores, "cores", "load tool " + report.generatorCores()
+				+ " cores, p99 of its lag " + report.generatorLagMillis() + " ms");
 		plot(straight.firstToken(), through.firstToken());
 	}
 
@@ -177,7 +178,8 @@
 		double perSecond = report.results().stream().mapToLong(CallResult::tokens).sum() * 1e9 / nanos;
 		double cores = after.coresSince(before, nanos);
 		String detail = perSecond + " tokens/s with " + cores + " cores; load tool " + report.generatorCores()
-				+ " cores; errors " + report.errorKinds() + "; wrong " + report.count(CallResult.Outcome.WRONG);
+				+ " cores, p99 of its lag " + report.generatorLagMillis() + " ms; errors " + report.errorKinds()
+				+ "; wrong " + report.count(CallResult.Outcome.WRONG);
 		this.table.row("tokens relayed per core and second", perSecond / cores, "tokens/s", detail);
 		this.table.row("peak resident memory while relaying", after.peakKib() / 1024.0, "MiB", detail);
 	}
--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/load/LoadGenerator.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/load/LoadGenerator.java
@@ -17,6 +17,8 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.PoolOptions;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
 
 /**
  * Sends requests at given times and records what their callers see.
@@ -155,6 +157,8 @@
 
 		private final Duration cpuAtStart = cpu();
 
+		private final Histogram lagNanos = new ConcurrentHistogram(3);
+
 		private long lastSendNanos;
 
 		Run(ModelTransport transport, CountDownLatch open) {
@@ -171,6 +175,7 @@
 			this.giveUp.add(() -> lane.vertx().runOnContext((ignored) -> recorder.giveUp()));
 			this.lastSendNanos = System.nanoTime();
 			lane.vertx().runOnContext((ignored) -> {
+				this.lagNanos.recordValue(Math.max(0, System.nanoTime() - call.dueNanos()));
 				recorder.start(this.transport.send(lane.client(), call, recorder));
 				if (call.cancelAfterTokens() == 0) {
 					lane.vertx().setTimer(EARLY_CANCEL_MILLIS, (id) -> recorder.cancel());
@@ -194,7 +199,8 @@
 			}
 			long nowNanos = System.nanoTime();
 			double cpuShare = (double) cpu().minus(this.cpuAtStart).toNanos() / (nowNanos - this.startNanos);
-			return LoadReport.of(List.copyOf(this.results), this.startNanos, this.lastSendNanos, nowNanos, cpuShare);
+			return new LoadReport(List.copyOf(this.results), this.startNanos, this.lastSendNanos, nowNanos, cpuShare,
+					this.lagNanos.getValueAtPercentile(99) / 1e6);
 		}
 
 		private static Duration cpu() {
--- /dev/null
+++ b/balsamlane-bench/src/test/java/io/balsamlane/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the measurements' own arithmetic.
+ */
+package io.balsamlane.bench;
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineCapacity.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineCapacity.java
@@ -3,9 +3,28 @@
 /**
  * Capacity model of the engine stand-in.
  * <p>
- * A prefill takes {@code tokens / prefillTokensPerSecond}, one at a time. A decode step
- * takes {@code stepMicros + sequences * stepPerSequenceMicros} and yields one token for
- * each sequence of the batch.
+ * <b>Prefill</b> runs one prompt at a time, larger priority first and then in order of
+ * arrival; a running prefill is not interrupted by a more urgent one. It takes
+ * {@code (tokens - reused) / prefillTokensPerSecond}, where {@code reused} are the tokens
+ * of the leading blocks of {@value #BLOCK_TOKENS} tokens that the prefix cache holds. The
+ * result is evicted {@code evictionMillis} after its end unless an export has begun.
+ * <p>
+ * <b>Export</b> of a result takes {@code tokens * kvBytesPerToken / linkBytesPerSecond},
+ * one after the other, plus twice the one-way delay if the other engine is far.
+ * <p>
+ * <b>Decode</b> advances all sequences of an engine together: a step takes
+ * {@code stepMicros + sequences * stepPerSequenceMicros} and yields one token for each
+ * sequence. The first token comes with the first step after the import; one more step
+ * ends the stream.
+ * <p>
+ * <b>Memory</b> is taken in whole pieces of {@code pieceTokens}: for the prompt from the
+ * arrival of a prefill to its export, eviction or cancellation; for prompt and
+ * {@code maxTokens} from the arrival of a decode to its end. What does not fit is
+ * refused.
+ * <p>
+ * The slow factor of a fault multiplies the time of prefills and steps. Prefills and
+ * steps are scheduled at their exact ends by the model, and each timer rounds to a
+ * millisecond, so rounding shifts single events but not the capacity.
  *
  * @param memoryPieces engine memory, in pieces
  * @param pieceTokens tokens in one piece
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/fleet/ChildProcess.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/fleet/ChildProcess.java
@@ -65,6 +65,8 @@
 			Process process = new ProcessBuilder(command).redirectOutput(output.toFile())
 				.redirectError(errors.toFile())
 				.start();
+			// A test or measurement that is interrupted leaves no processes behind.
+			Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly, "stop-" + name));
 			return new ChildProcess(name, process, output, errors);
 		}
 		catch (IOException ex) {
