--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/FailureDetector.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/FailureDetector.java
@@ -83,7 +83,7 @@
 		this.lastNanos = nowNanos;
 		this.nextProbeNanos = nowNanos + random.nextLong(this.probeNanos);
 		this.peerContactNanos = nowNanos;
-		this.view = createView();
+		this.view = this.table.view(this.dissemination.self());
 	}
 
 	/**
@@ -483,7 +483,7 @@
 	private List<MembershipAction> finish(List<MembershipAction> actions, long nowNanos) {
 		if (this.table.takeChanged()) {
 			this.synchronization.tableChanged();
-			MemberView next = createView();
+			MemberView next = this.table.view(this.dissemination.self());
 			if (!next.equals(this.view)) {
 				this.view = next;
 				actions.add(new MembershipAction.ViewChanged(next));
@@ -492,13 +492,4 @@
 		return List.copyOf(actions);
 	}
 
-	private MemberView createView() {
-		MemberUpdate update = this.dissemination.self();
-		Member self = MemberEntry.memberOf(update);
-		Stream<Member> others = this.table.entries().stream().filter(MemberEntry::eligible).map(MemberEntry::member);
-		return new MemberView(self,
-				((update.getStatus() == MemberStatus.ALIVE) ? Stream.concat(Stream.of(self), others) : others)
-					.toList());
-	}
-
 }
--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/MemberTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/MemberTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import io.balsamlane.schema.MemberStatus;
 import io.balsamlane.schema.MemberUpdate;
@@ -126,4 +127,13 @@
 		this.changed = true;
 	}
 
+	// Returns the members that may own something; this node only while it is not leaving.
+	MemberView view(MemberUpdate self) {
+		Stream<Member> owners = this.entries.values().stream().filter(MemberEntry::eligible).map(MemberEntry::member);
+		Member present = MemberEntry.memberOf(self);
+		return new MemberView(present,
+				Stream.concat((self.getStatus() == MemberStatus.ALIVE) ? Stream.of(present) : Stream.empty(), owners)
+					.toList());
+	}
+
 }
