--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/scheduling/ModelRequest.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/scheduling/ModelRequest.java
@@ -23,6 +23,8 @@
 
 	int attempt = 1;
 
+	int router;
+
 	int generated;
 
 	long firstTokenNanos;
--- a/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/Ledger.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/Ledger.java
@@ -193,6 +193,7 @@
 	 */
 	void observeOverdue(long nowNanos) {
 		if (!this.phasesReported) {
+			assumePrefillsDone(nowNanos);
 			return;
 		}
 		for (Grant grant : this.grants.values()) {
@@ -207,6 +208,14 @@
 		}
 	}
 
+	// Without reports the expected time is the best guess of the end of a prefill.
+	private void assumePrefillsDone(long nowNanos) {
+		this.grants.values()
+			.stream()
+			.filter((grant) -> grant.prefilling && nowNanos - grant.expectedFirstTokenNanos > 0)
+			.forEach((grant) -> prefillDone(grant, nowNanos, false));
+	}
+
 	private static void observeOverdue(Engine engine, long startNanos, double nominalNanos, long nowNanos) {
 		double waited = nowNanos - startNanos;
 		if (engine.overdueNanos != nowNanos && waited > OVERDUE_NANOS + 1.5 * nominalNanos * engine.timeFactor) {
--- a/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/Placement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/scheduling/Placement.java
@@ -26,6 +26,12 @@
 	 */
 	private static final int GRANTS_PER_URGENT_PROBE = 50;
 
+	/**
+	 * Events that may be lost at once before an engine's cache is forgotten. A few lost
+	 * evictions misjudge a few blocks; forgetting would cost every cached prefix.
+	 */
+	private static final int MAX_LOST_EVENTS = 64;
+
 	private static final long PROBE_NANOS = 30_000_000_000L;
 
 	private final SchedulerParameters parameters;
@@ -301,7 +307,7 @@
 			if (event.sequence() <= engine.cacheSequence) {
 				return;
 			}
-			if (event.sequence() != engine.cacheSequence + 1) {
+			if (engine.cacheSequence > 0 && event.sequence() - engine.cacheSequence > MAX_LOST_EVENTS) {
 				this.engines.forgetCache(engine);
 			}
 			engine.cacheSequence = event.sequence();
--- a/balsamlane-router/src/main/java/io/balsamlane/router/decision/ModelScheduling.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/decision/ModelScheduling.java
@@ -132,4 +132,12 @@
 				this.domains::crossRegionBytes);
 	}
 
+	SchedulerHost host() {
+		return this.host;
+	}
+
+	DomainGrantService domains() {
+		return this.domains;
+	}
+
 }
