Attempts with deadlines, confirmed cancels, auditor, quarantine and input limits on the model path

Cause: an exchange trusted every connection, tried each cancel once, left orphans of a killed router on the engines and held requests without limits. Change: numbered attempts with a progress deadline per phase, probes over a new connection, availability from three independent signals, cancels that are repeated until confirmed, an auditor per engine with two deputies, quarantine by deaths with exactly one request in common, error kinds with remedies, limits on headers, bodies, time and buffered answer bytes. Figures: 400 streams over 9 in-process engines, 4 of which stop: every byte as expected; 40 callers that close in all phases: 0 pieces held.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/retry/EngineAudit.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/retry/EngineAudit.java
@@ -111,8 +111,8 @@
 		if (this.undelivered.size() >= this.maxHosts && !this.undelivered.containsKey(host)) {
 			return false;
 		}
-		return this.undelivered.merge(host, 1, (count, one) -> Math.min(count + one,
-				FAILURES_UNTIL_DEAD)) >= FAILURES_UNTIL_DEAD;
+		return this.undelivered.merge(host, 1,
+				(count, one) -> Math.min(count + one, FAILURES_UNTIL_DEAD)) >= FAILURES_UNTIL_DEAD;
 	}
 
 	/**
--- a/balsamlane-core/src/main/java/io/balsamlane/core/retry/Quarantine.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/retry/Quarantine.java
@@ -14,12 +14,12 @@
  * Finds requests that crash the backend servers that run them.
  * <p>
  * Each death of a server names the fingerprints that ran on it. Two deaths of different
- * servers quarantine a fingerprint only if it is the only one that they have in common, so
- * a bystander that shared both servers with the culprit is not taken for it. A fingerprint
- * that completes, or that gets {@value #CLEARING_TOKENS} tokens further than where a
- * server died, did not cause that death, so servers that are killed one after the other
- * do not quarantine the requests that move between them. Not safe for use by several
- * threads.
+ * servers quarantine a fingerprint only if it is the only one that they have in common,
+ * so a bystander that shared both servers with the culprit is not taken for it. A
+ * fingerprint that completes, or that gets {@value #CLEARING_TOKENS} tokens further than
+ * where a server died, did not cause that death, so servers that are killed one after the
+ * other do not quarantine the requests that move between them. Not safe for use by
+ * several threads.
  */
 public final class Quarantine {
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -2,10 +2,15 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.List;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.core.model.BackendServer;
+import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
+import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
@@ -13,8 +18,16 @@
 import io.balsamlane.router.decision.GrantService;
 import io.balsamlane.router.decision.LocalGrantService;
 import io.balsamlane.router.edge.CallerServer;
+import io.balsamlane.router.edge.ModelPath;
+import io.balsamlane.router.engine.CarriedAttempts;
+import io.balsamlane.router.engine.EngineAuditor;
+import io.balsamlane.router.engine.EngineCanceller;
+import io.balsamlane.router.engine.EngineClient;
+import io.balsamlane.router.engine.EngineHealth;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
+import io.balsamlane.router.peer.PeerNetwork;
+import io.balsamlane.router.peer.StandalonePeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
 import io.balsamlane.router.store.PlatformStore;
@@ -22,6 +35,7 @@
 import io.balsamlane.schema.Configuration;
 import io.balsamlane.schema.EventKind;
 import io.balsamlane.schema.Settings;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -36,8 +50,6 @@
 
 	private static final int DRAIN_CHECK_MILLIS = 20;
 
-	private static final long PREFILL_TIMEOUT_MILLIS = 30_000;
-
 	private final Vertx vertx;
 
 	private final Settings settings;
@@ -50,11 +62,15 @@
 
 	private final HostListReader hostReader;
 
+	private final ModelPath modelPath;
+
+	private final EngineAuditor auditor;
+
 	private final CallerServer callers;
 
 	private final AdminServer admin;
 
-	private HostList hosts = HostList.empty();
+	private volatile HostList hosts = HostList.empty();
 
 	private RouterDaemon(Vertx vertx, Settings settings) {
 		this.vertx = vertx;
@@ -68,9 +84,12 @@
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
 		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
 				settings.getScheduling().getPieceTokens());
-		this.callers = CallerServer.create(vertx, settings, this.state, grants,
-				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS), SingleKeyIntentService.create(store),
-				this.timeline);
+		PeerNetwork network = StandalonePeerNetwork.create(self(settings));
+		this.modelPath = modelPath(vertx, settings, grants, network);
+		this.auditor = EngineAuditor.create(this.modelPath.context(), network, this.modelPath.engines(),
+				this.modelPath.canceller(), this.timeline, this::engines, settings.getEngines().getAuditMillis());
+		this.callers = CallerServer.create(this.modelPath, this.state, SingleKeyIntentService.create(store),
+				network.members().self().incarnation());
 		this.admin = AdminServer.create(vertx, settings, this.state, this.configuration, this.timeline, metrics());
 	}
 
@@ -84,6 +103,25 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
+	private static Member self(Settings settings) {
+		return new Member(HostName.of(settings.getNode().getHost()), System.currentTimeMillis(),
+				Place.of(settings.getNode().getPlace()),
+				Endpoint.of(settings.getNode().getAddress(), Math.max(1, settings.getPeer().getPort())));
+	}
+
+	private ModelPath modelPath(Vertx vertx, Settings settings, GrantService grants, PeerNetwork network) {
+		Context context = vertx.getOrCreateContext();
+		EngineClient engines = HttpEngineClient.create(vertx, settings.getEngines());
+		return new ModelPath(context, settings, grants, engines,
+				EngineHealth.create(context, engines, network, this.timeline, settings.getEngines()),
+				EngineCanceller.create(vertx, engines, settings.getEngines()), CarriedAttempts.create(network),
+				this.timeline);
+	}
+
+	private List<BackendServer> engines() {
+		return this.hosts.servers().stream().filter((server) -> server.kind() == BackendServer.Kind.ENGINE).toList();
+	}
+
 	private MetricRegistry metrics() {
 		MetricRegistry registry = new MetricRegistry();
 		registry.register("configuration_revision", (Gauge<Long>) () -> this.state.routes().revision());
@@ -99,6 +137,7 @@
 		this.timeline.record(EventKind.PROCESS_STARTED, "", 0, this.settings.getNode().getHost(), "");
 		this.configuration.start();
 		this.hostReader.start();
+		this.auditor.start();
 		return this.callers.start()
 			.compose((callerPort) -> this.admin.start().map((adminPort) -> new Ports(callerPort, adminPort)))
 			.onSuccess((ports) -> logger.log(Level.INFO,
@@ -116,10 +155,14 @@
 		Promise<Void> drained = Promise.promise();
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
 		long deadlineNanos = System.nanoTime() + (noticeMillis + this.settings.getEdge().getDrainMillis()) * 1_000_000L;
-		this.vertx.setTimer(noticeMillis, (id) -> awaitDrained(deadlineNanos, drained));
+		this.vertx.setTimer(noticeMillis, (id) -> {
+			this.callers.refuseNew();
+			awaitDrained(deadlineNanos, drained);
+		});
 		return drained.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
+			this.auditor.stop();
 			return this.callers.stop();
 		}).compose((done) -> this.admin.stop());
 	}
@@ -141,6 +184,7 @@
 
 	private synchronized void hostsChanged(HostList next) {
 		this.hosts = next;
+		this.modelPath.health().hostsChanged(next);
 		this.state.setRoutes(routes(this.configuration.applied()));
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
@@ -1,22 +1,27 @@
 package io.balsamlane.router.edge;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.balsamlane.core.routing.Route;
 import io.balsamlane.router.RouterState;
-import io.balsamlane.router.decision.GrantService;
-import io.balsamlane.router.engine.EngineClient;
 import io.balsamlane.router.records.IntentService;
-import io.balsamlane.router.timeline.Timeline;
 import io.balsamlane.schema.Caller;
+import io.balsamlane.schema.EdgeSettings;
 import io.balsamlane.schema.Settings;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.Http2Settings;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.core.json.DecodeException;
 import org.apache.commons.codec.digest.DigestUtils;
 
@@ -29,56 +34,57 @@
 
 	private static final String BEARER_PREFIX = "Bearer ";
 
-	private final Vertx vertx;
+	private static final int RETRY_AFTER_MILLIS = 1000;
 
-	private final Settings settings;
+	private static final int MAX_TRACEPARENT_CHARS = 128;
 
-	private final RouterState state;
+	private static final int STOP_SECONDS = 1;
 
-	private final GrantService grants;
+	private final Vertx vertx;
 
-	private final EngineClient engines;
+	private final ModelPath path;
 
-	private final Timeline timeline;
+	private final Settings settings;
+
+	private final RouterState state;
 
 	private final ServiceCallHandler services;
 
+	private final ConnectionWatch connections;
+
 	private final AtomicInteger inProgress = new AtomicInteger();
 
 	private final String requestIdPrefix;
 
 	private long nextRequest;
 
+	private volatile boolean refusing;
+
 	private HttpServer server;
 
-	private CallerServer(Vertx vertx, Settings settings, RouterState state, GrantService grants, EngineClient engines,
-			IntentService intents, Timeline timeline) {
-		this.vertx = vertx;
-		this.settings = settings;
+	private CallerServer(ModelPath path, RouterState state, IntentService intents, long incarnation) {
+		this.vertx = path.context().owner();
+		this.path = path;
+		this.settings = path.settings();
 		this.state = state;
-		this.grants = grants;
-		this.engines = engines;
-		this.timeline = timeline;
-		String host = settings.getNode().getHost();
-		this.requestIdPrefix = host + "-" + Long.toString(System.currentTimeMillis(), 36) + "-";
-		this.services = new ServiceCallHandler(vertx, intents, timeline, host,
-				settings.getRecords().getMaxAnswerBytes());
+		String host = this.settings.getNode().getHost();
+		this.requestIdPrefix = host + "-" + Long.toString(incarnation, 36) + "-";
+		this.connections = new ConnectionWatch(this.vertx, this.settings.getEdge().getIdleTimeoutMillis());
+		this.services = new ServiceCallHandler(this.vertx, intents, path.timeline(), host,
+				this.settings.getRecords().getMaxAnswerBytes());
 	}
 
 	/**
 	 * Creates the server.
-	 * @param vertx the event loops to use
-	 * @param settings the settings of the daemon
+	 * @param path the parts that all model requests share
 	 * @param state the routes in force
-	 * @param grants decides which engines run a model request
-	 * @param engines access to engines
 	 * @param intents records of non-repeatable calls
-	 * @param timeline receives events
+	 * @param incarnation incarnation of this process; with the host it makes request ids
+	 * unique
 	 * @return the server
 	 */
-	public static CallerServer create(Vertx vertx, Settings settings, RouterState state, GrantService grants,
-			EngineClient engines, IntentService intents, Timeline timeline) {
-		return new CallerServer(vertx, settings, state, grants, engines, intents, timeline);
+	public static CallerServer create(ModelPath path, RouterState state, IntentService intents, long incarnation) {
+		return new CallerServer(path, state, intents, incarnation);
 	}
 
 	/**
@@ -86,11 +92,29 @@
 	 * @return the port
 	 */
 	public Future<Integer> start() {
+		EdgeSettings edge = this.settings.getEdge();
 		HttpServerOptions options = new HttpServerOptions().setHost(this.settings.getNode().getAddress())
-			.setPort(this.settings.getEdge().getPort())
-			.setMaxHeaderSize(this.settings.getEdge().getMaxHeaderBytes());
-		this.server = this.vertx.createHttpServer(options).requestHandler(this::handle);
-		return this.server.listen().map(HttpServer::actualPort);
+			.setPort(edge.getPort())
+			.setMaxHeaderSize(edge.getMaxHeaderBytes())
+			.setMaxInitialLineLength(edge.getMaxHeaderBytes())
+			.setInitialSettings(new Http2Settings().setMaxHeaderListSize(edge.getMaxHeaderBytes()))
+			.setHttp2ClearTextEnabled(true);
+		Promise<Integer> started = Promise.promise();
+		this.path.context().runOnContext((ignored) -> {
+			this.server = this.vertx.createHttpServer(options)
+				.connectionHandler(this.connections::opened)
+				.invalidRequestHandler(CallerServer::invalid)
+				.requestHandler(this::handle);
+			this.server.listen().map(HttpServer::actualPort).onComplete(started);
+		});
+		return started.future();
+	}
+
+	/**
+	 * Refuses new requests as not run from now on; requests in progress go on.
+	 */
+	public void refuseNew() {
+		this.refusing = true;
 	}
 
 	/**
@@ -98,7 +122,7 @@
 	 * @return completes when everything is closed
 	 */
 	public Future<Void> stop() {
-		return this.server.close();
+		return this.server.shutdown(STOP_SECONDS, TimeUnit.SECONDS);
 	}
 
 	/**
@@ -109,32 +133,58 @@
 		return this.inProgress.get();
 	}
 
+	private static void invalid(HttpServerRequest request) {
+		Throwable cause = request.decoderResult().cause();
+		boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+		ErrorKind kind = tooLong ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.MALFORMED_HTTP;
+		refuseAndClose(request, Refusal.of(kind, Ran.NO, "the request cannot be read"));
+	}
+
 	private void handle(HttpServerRequest request) {
 		String requestId = this.requestIdPrefix + this.nextRequest++;
 		request.response().putHeader("X-Request-Id", requestId);
+		if (this.refusing) {
+			refuseAndClose(request, Refusal.withRetry(ErrorKind.SHUTTING_DOWN, Ran.NO, "this router is shutting down",
+					RETRY_AFTER_MILLIS));
+			return;
+		}
 		if (this.inProgress.get() >= this.settings.getEdge().getMaxConcurrentRequests()) {
-			Refusal.withRetry(503, "too-many-requests", Ran.NO, "this router is at its limit", 1000)
-				.send(request.response());
+			refuseAndClose(request, Refusal.withRetry(ErrorKind.TOO_MANY_REQUESTS, Ran.NO,
+					"this router is at its limit", RETRY_AFTER_MILLIS));
 			return;
 		}
-		this.inProgress.incrementAndGet();
-		request.response().endHandler((ended) -> this.inProgress.decrementAndGet());
-		Caller caller = caller(request);
-		String path = request.path();
-		if (request.method() == HttpMethod.POST && path.equals("/v1/chat/completions")) {
-			model(request, requestId, caller, true);
+		if (this.state.draining() && request.version() != HttpVersion.HTTP_2) {
+			// Moves kept-alive connections to other routers before requests are refused.
+			request.response().putHeader("Connection", "close");
 		}
-		else if (request.method() == HttpMethod.POST && path.equals("/v1/completions")) {
-			model(request, requestId, caller, false);
+		Completion completion = new Completion(() -> {
+			this.inProgress.decrementAndGet();
+			this.connections.ended(request.connection());
+		});
+		this.inProgress.incrementAndGet();
+		this.connections.begun(request.connection());
+		request.response().endHandler((ended) -> completion.run());
+		request.response().closeHandler((closed) -> completion.run());
+		route(request, requestId, caller(request), completion);
+	}
+
+	private void route(HttpServerRequest request, String requestId, Caller caller, Completion completion) {
+		String target = request.path();
+		boolean chat = target.equals("/v1/chat/completions");
+		if (chat || target.equals("/v1/completions")) {
+			if (request.method() == HttpMethod.POST) {
+				model(request, requestId, caller, chat, completion);
+			}
+			else {
+				Refusal.of(ErrorKind.WRONG_METHOD, Ran.NO, "the method is " + request.method())
+					.send(request.response());
+			}
 		}
-		else if (path.startsWith(SERVICE_PREFIX)) {
+		else if (target.startsWith(SERVICE_PREFIX)) {
 			service(request, requestId, caller);
 		}
 		else {
-			Refusal
-				.of(404, "unknown-path", Ran.NO, "no resource has the path " + path,
-						"Use /v1/chat/completions, /v1/completions or /services/NAME/PATH")
-				.send(request.response());
+			Refusal.of(ErrorKind.UNKNOWN_PATH, Ran.NO, "no resource has the path " + target).send(request.response());
 		}
 	}
 
@@ -148,32 +198,53 @@
 		return this.state.routes().caller(hash).orElse(Caller.getDefaultInstance());
 	}
 
-	private void model(HttpServerRequest request, String requestId, Caller caller, boolean chat) {
-		request.body().onSuccess((body) -> {
-			try {
-				start(request, caller, ModelRequest.parse(requestId, chat, body.toJsonObject()));
+	private void model(HttpServerRequest request, String requestId, Caller caller, boolean chat,
+			Completion completion) {
+		BodyReader.read(this.vertx, request, this.settings.getEdge(), (result) -> {
+			if (result instanceof BodyReader.Refused refused) {
+				refuseAndClose(request, refused.refusal());
 			}
-			catch (DecodeException | IllegalArgumentException | ClassCastException ex) {
-				Refusal
-					.of(400, "malformed-request", Ran.NO, ex.getMessage(),
-							"Send a JSON object in the completion or chat shape")
-					.send(request.response());
+			else if (result instanceof BodyReader.Body body) {
+				parse(request, requestId, caller, chat, body.bytes(), completion);
 			}
 		});
 	}
 
-	private void start(HttpServerRequest request, Caller caller, ModelRequest parsed) {
+	private void parse(HttpServerRequest request, String requestId, Caller caller, boolean chat, Buffer body,
+			Completion completion) {
+		ModelRequest parsed;
+		try {
+			parsed = ModelRequest.parse(requestId, chat, body.toJsonObject());
+		}
+		catch (DecodeException | ClassCastException ex) {
+			Refusal.of(ErrorKind.MALFORMED_REQUEST, Ran.NO, "the body is not a JSON object").send(request.response());
+			return;
+		}
+		catch (IllegalArgumentException ex) {
+			Refusal.of(ErrorKind.MALFORMED_REQUEST, Ran.NO, ex.getMessage()).send(request.response());
+			return;
+		}
+		start(request, caller, parsed, completion);
+	}
+
+	private void start(HttpServerRequest request, Caller caller, ModelRequest parsed, Completion completion) {
 		Route route = this.state.routes().modelRoute(caller, parsed.model());
 		if (!(route instanceof Route.ToEngines engineRoute)) {
 			refuse(request, (Route.None) route);
 			return;
 		}
-		AnswerWriter answer = AnswerWriter.create(request.response(), parsed, System.currentTimeMillis() / 1000);
-		ModelExchange exchange = new ModelExchange(this.grants, this.engines, this.timeline, parsed, caller,
-				engineRoute, answer, () -> {
-				});
-		request.response().closeHandler((closed) -> exchange.callerGone());
-		request.response().exceptionHandler((cause) -> exchange.callerGone());
+		AnswerWriter answer = AnswerWriter.create(this.vertx, request.response(), parsed, this.settings.getEdge());
+		String traceparent = request.getHeader("traceparent");
+		ModelExchange exchange = new ModelExchange(this.path, parsed, caller, engineRoute, answer,
+				(traceparent != null && traceparent.length() <= MAX_TRACEPARENT_CHARS) ? traceparent : "");
+		request.response().closeHandler((closed) -> {
+			exchange.callerGone();
+			completion.run();
+		});
+		request.response().exceptionHandler((cause) -> {
+			exchange.callerGone();
+			completion.run();
+		});
 		exchange.start();
 	}
 
@@ -192,9 +263,38 @@
 	}
 
 	private static void refuse(HttpServerRequest request, Route.None none) {
-		int status = none.kind().startsWith("unknown") ? 404 : 403;
-		Refusal.of(status, none.kind(), Ran.NO, none.message(), "Check the name, or ask an operator for access")
-			.send(request.response());
+		Refusal.ofText(none.kind(), Ran.NO, none.message(), 0).send(request.response());
+	}
+
+	// Refuses a request of which more bytes may follow, and closes its connection.
+	private static void refuseAndClose(HttpServerRequest request, Refusal refusal) {
+		if (request.version() == HttpVersion.HTTP_2) {
+			refusal.send(request.response());
+			return;
+		}
+		request.response().putHeader("Connection", "close");
+		refusal.send(request.response());
+	}
+
+	/**
+	 * Runs an action once.
+	 */
+	private static final class Completion {
+
+		private Runnable action;
+
+		Completion(Runnable action) {
+			this.action = action;
+		}
+
+		void run() {
+			Runnable first = this.action;
+			this.action = null;
+			if (first != null) {
+				first.run();
+			}
+		}
+
 	}
 
 }
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/ErrorKind.java
@@ -0,0 +1,103 @@
+package io.balsamlane.router.edge;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * Stable kinds of errors that callers of model requests see, with HTTP status and default
+ * remedy. The operators' page has an entry for each.
+ */
+public enum ErrorKind {
+
+	/** No resource has the path. */
+	UNKNOWN_PATH(404, "Use /v1/chat/completions, /v1/completions or /services/NAME/PATH"),
+
+	/** The path exists, but not with this method. */
+	WRONG_METHOD(405, "Use POST"),
+
+	/** The bytes are not HTTP. */
+	MALFORMED_HTTP(400, "Send a well-formed HTTP/1.1 or HTTP/2 request"),
+
+	/** The headers are larger than {@code max_header_bytes}. */
+	HEADERS_TOO_LARGE(431, "Send fewer or shorter headers"),
+
+	/** The body is not a request in the completion or chat shape. */
+	MALFORMED_REQUEST(400, "Send a JSON object in the completion or chat shape"),
+
+	/** The body is larger than {@code max_model_body_bytes}. */
+	BODY_TOO_LARGE(413, "Shorten the prompt, or ask an operator to raise max_model_body_bytes"),
+
+	/** The body did not arrive within {@code body_timeout_millis}. */
+	SLOW_REQUEST(408, "Send the whole body without pauses"),
+
+	/** The caller read its answer too slowly. */
+	SLOW_CALLER(503, "Read the answer as fast as it arrives, or ask an operator to raise max_stream_buffer_bytes"),
+
+	/** This router has {@code max_concurrent_requests} in progress. */
+	TOO_MANY_REQUESTS(503, "Send the request again after the given time"),
+
+	/** This router is shutting down. */
+	SHUTTING_DOWN(503, "Send the request again over a new connection"),
+
+	/** No pool serves the model. */
+	UNKNOWN_MODEL(404, "Check the name, or ask an operator to create a pool for the model"),
+
+	/** No plain service has the name. */
+	UNKNOWN_SERVICE(404, "Check the name, or ask an operator to create the service"),
+
+	/** No selector lets the request reach a live backend server. */
+	NO_ROUTE(403, "Check the name, or ask an operator for access"),
+
+	/** Every engine that the request may reach is leaving or has failed. */
+	NO_ENGINE(503, "Send the request again after the given time"),
+
+	/** Engines failed in every attempt. */
+	ATTEMPTS_EXHAUSTED(503, "Send the request again after the given time"),
+
+	/** The request crashed two backend servers that ran it. */
+	QUARANTINED(422, "Change the request: two backend servers died while they ran it");
+
+	private final int status;
+
+	private final String remedy;
+
+	ErrorKind(int status, String remedy) {
+		this.status = status;
+		this.remedy = remedy;
+	}
+
+	/**
+	 * Finds a kind by its text.
+	 * @param text the text, as in the field {@code kind} of an answer
+	 * @return the kind, empty if no constant has this text
+	 */
+	public static Optional<ErrorKind> find(String text) {
+		return Stream.of(values()).filter((kind) -> kind.text().equals(text)).findFirst();
+	}
+
+	/**
+	 * Returns the kind as answers contain it.
+	 * @return the text, lower case with hyphens
+	 */
+	public String text() {
+		return name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+	/**
+	 * Returns the HTTP status.
+	 * @return the status code
+	 */
+	public int status() {
+		return this.status;
+	}
+
+	/**
+	 * Returns what the caller can do.
+	 * @return the remedy
+	 */
+	public String remedy() {
+		return this.remedy;
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
@@ -24,6 +24,33 @@
 		return new Refusal(status, kind, ran, detail, "Send the request again after the given time", retryAfterMillis);
 	}
 
+	static Refusal of(ErrorKind kind, Ran ran, String detail) {
+		return new Refusal(kind.status(), kind.text(), ran, detail, kind.remedy(), 0);
+	}
+
+	static Refusal withRetry(ErrorKind kind, Ran ran, String detail, int retryAfterMillis) {
+		return new Refusal(kind.status(), kind.text(), ran, detail, kind.remedy(), retryAfterMillis);
+	}
+
+	/**
+	 * Creates a refusal of a kind that another router may have given.
+	 * @param kind text of the kind
+	 * @param ran whether the request ran
+	 * @param detail what went wrong
+	 * @param retryAfterMillis time after which a new try makes sense
+	 * @return the refusal; status 503 if the kind is unknown here
+	 */
+	static Refusal ofText(String kind, Ran ran, String detail, int retryAfterMillis) {
+		return ErrorKind.find(kind)
+			.map((known) -> withRetry(known, ran, detail, retryAfterMillis))
+			.orElseGet(() -> withRetry(503, kind, ran, detail, retryAfterMillis));
+	}
+
+	/**
+	 * Returns the problem details. The member {@code error} repeats them in the shape
+	 * that clients of the completion and chat interface read.
+	 * @return the JSON object
+	 */
 	JsonObject toJson() {
 		return new JsonObject().put("type", "urn:balsamlane:" + this.kind)
 			.put("title", this.kind)
@@ -31,11 +58,22 @@
 			.put("detail", this.detail)
 			.put("kind", this.kind)
 			.put("ran", this.ran.toString())
+			.put("remedy", this.remedy)
+			.put("error", toErrorJson());
+	}
+
+	JsonObject toErrorJson() {
+		return new JsonObject().put("message", this.detail + ". " + this.remedy)
+			.put("type", (this.status < 500) ? "invalid_request_error" : "server_error")
+			.put("code", this.kind)
+			.putNull("param")
+			.put("kind", this.kind)
+			.put("ran", this.ran.toString())
 			.put("remedy", this.remedy);
 	}
 
 	void send(HttpServerResponse response) {
-		if (response.ended() || response.closed()) {
+		if (response.ended() || response.closed() || response.headWritten()) {
 			return;
 		}
 		if (this.retryAfterMillis > 0) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/DecodeCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/DecodeCall.java
@@ -13,7 +13,8 @@
  * @param maxTokens longest answer, in tokens
  * @param offset first token to send
  * @param priority larger is more urgent
+ * @param traceparent trace context of the caller, empty if none
  */
 public record DecodeCall(String attempt, String model, Endpoint kvSource, String kvHandle, int promptTokens,
-		int maxTokens, int offset, int priority) {
+		int maxTokens, int offset, int priority, String traceparent) {
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/DecodeEvent.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/DecodeEvent.java
@@ -39,4 +39,12 @@
 	record Broken(String message) implements DecodeEvent {
 	}
 
+	/**
+	 * No connection could be opened; the engine received nothing.
+	 *
+	 * @param message the cause
+	 */
+	record Unreachable(String message) implements DecodeEvent {
+	}
+
 }
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/DecodeStream.java
@@ -0,0 +1,95 @@
+package io.balsamlane.router.engine;
+
+import java.util.function.Consumer;
+
+import io.balsamlane.router.engine.DecodeEvent.Broken;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import io.vertx.core.parsetools.RecordParser;
+
+/**
+ * One decode stream; yields no event after its end.
+ */
+final class DecodeStream {
+
+	/** Longest line that an engine may send, in bytes. */
+	private static final int MAX_LINE_BYTES = 65_536;
+
+	private final Consumer<DecodeEvent> listener;
+
+	private HttpClientRequest request;
+
+	private boolean ended;
+
+	DecodeStream(Consumer<DecodeEvent> listener) {
+		this.listener = listener;
+	}
+
+	void open(HttpClientRequest opened, Buffer order) {
+		if (this.ended) {
+			opened.reset();
+			return;
+		}
+		this.request = opened;
+		opened.exceptionHandler((cause) -> end(new Broken(String.valueOf(cause.getMessage()))));
+		opened.send(order)
+			.onSuccess(this::read)
+			.onFailure((cause) -> end(new Broken(String.valueOf(cause.getMessage()))));
+	}
+
+	private void read(HttpClientResponse response) {
+		if (response.statusCode() != 200) {
+			response.body()
+				.onSuccess((body) -> end(new DecodeEvent.Refused(HttpEngineClient.kind(response, body))))
+				.onFailure((cause) -> end(new Broken(String.valueOf(cause.getMessage()))));
+			return;
+		}
+		RecordParser lines = RecordParser.newDelimited("\n", this::accept);
+		lines.maxRecordSize(MAX_LINE_BYTES);
+		lines.exceptionHandler((cause) -> abort("the engine sent a line that is too long"));
+		response.exceptionHandler((cause) -> end(new Broken(String.valueOf(cause.getMessage()))));
+		response.endHandler((done) -> end(new Broken("the stream ended before the answer was complete")));
+		response.handler(lines);
+	}
+
+	private void accept(Buffer line) {
+		if (this.ended) {
+			return;
+		}
+		try {
+			JsonObject json = line.toJsonObject();
+			if (json.containsKey("finish")) {
+				end(new DecodeEvent.Finished(json.getString("finish"), json.getInteger("offset")));
+			}
+			else {
+				this.listener.accept(new DecodeEvent.Token(json.getInteger("offset"), json.getString("text")));
+			}
+		}
+		catch (DecodeException | ClassCastException | NullPointerException ex) {
+			abort("the engine sent a line that is not understood");
+		}
+	}
+
+	private void abort(String reason) {
+		end(new Broken(reason));
+		this.request.reset();
+	}
+
+	void end(DecodeEvent event) {
+		if (!this.ended) {
+			this.ended = true;
+			this.listener.accept(event);
+		}
+	}
+
+	void close() {
+		this.ended = true;
+		if (this.request != null) {
+			this.request.reset();
+		}
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineClient.java
@@ -1,5 +1,7 @@
 package io.balsamlane.router.engine;
 
+import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.balsamlane.core.model.Endpoint;
@@ -15,9 +17,11 @@
 	 * Prefills a prompt.
 	 * @param engine the prefill engine
 	 * @param call the order
-	 * @return the outcome
+	 * @param listener receives exactly one result
+	 * @return closes the call from this side; no result follows, and an order that was
+	 * not sent yet is not sent
 	 */
-	Future<PrefillResult> prefill(Endpoint engine, PrefillCall call);
+	Runnable prefill(Endpoint engine, PrefillCall call, Consumer<PrefillResult> listener);
 
 	/**
 	 * Starts a decode stream.
@@ -33,8 +37,60 @@
 	 * know the attempt.
 	 * @param engine the engine
 	 * @param attempt request id and attempt number
-	 * @return true if the engine confirmed
+	 * @return what the engine confirmed
+	 */
+	Future<CancelResult> cancel(Endpoint engine, String attempt);
+
+	/**
+	 * Reads the attempts that an engine runs.
+	 * @param engine the engine
+	 * @return the attempts, empty if the engine did not answer
+	 */
+	Future<Optional<List<String>>> running(Endpoint engine);
+
+	/**
+	 * Finds out over a new connection whether an engine lives.
+	 * @param engine the engine
+	 * @return the outcome
+	 */
+	Future<ProbeResult> probe(Endpoint engine);
+
+	/**
+	 * Stops using the open connections of an engine; later calls open new ones.
+	 * @param engine the engine
 	 */
-	Future<Boolean> cancel(Endpoint engine, String attempt);
+	void dropConnections(Endpoint engine);
+
+	/**
+	 * What a cancel achieved.
+	 */
+	enum CancelResult {
+
+		/** The engine freed memory. */
+		RELEASED,
+
+		/** The engine answered that it held nothing for the attempt. */
+		NOTHING_HELD,
+
+		/** No answer came. */
+		UNCONFIRMED
+
+	}
+
+	/**
+	 * What a probe found.
+	 */
+	enum ProbeResult {
+
+		/** The engine answered. */
+		ALIVE,
+
+		/** The connection was refused: no process listens. */
+		REFUSED,
+
+		/** Neither an answer nor a refusal came in time. */
+		SILENT
+
+	}
 
 }
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/EnginePools.java
@@ -0,0 +1,63 @@
+package io.balsamlane.router.engine;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.balsamlane.core.model.Endpoint;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+
+/**
+ * One HTTP client for each engine, so that the connections to one engine can be replaced
+ * without touching the others.
+ */
+final class EnginePools {
+
+	private static final int MAX_CONNECTIONS_PER_ENGINE = 256;
+
+	private static final int MAX_ENGINES = 2048;
+
+	/** Time in which streams on replaced connections may still make progress. */
+	private static final int SHUTDOWN_SECONDS = 10;
+
+	private final Vertx vertx;
+
+	private final int connectTimeoutMillis;
+
+	private final Map<Endpoint, HttpClient> clients;
+
+	EnginePools(Vertx vertx, int connectTimeoutMillis) {
+		this.vertx = vertx;
+		this.connectTimeoutMillis = connectTimeoutMillis;
+		this.clients = new LinkedHashMap<>(16, 0.75f, true) {
+			@Override
+			protected boolean removeEldestEntry(Map.Entry<Endpoint, HttpClient> eldest) {
+				if (size() <= MAX_ENGINES) {
+					return false;
+				}
+				eldest.getValue().shutdown(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+				return true;
+			}
+		};
+	}
+
+	synchronized HttpClient client(Endpoint engine) {
+		return this.clients.computeIfAbsent(engine, (key) -> create(MAX_CONNECTIONS_PER_ENGINE));
+	}
+
+	HttpClient create(int maxConnections) {
+		return this.vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(this.connectTimeoutMillis),
+				new PoolOptions().setHttp1MaxSize(maxConnections));
+	}
+
+	synchronized void drop(Endpoint engine) {
+		HttpClient old = this.clients.remove(engine);
+		if (old != null) {
+			old.shutdown(SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+		}
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/PrefillCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/PrefillCall.java
@@ -7,6 +7,7 @@
  * @param model name of the model
  * @param prompt the prompt
  * @param priority larger is more urgent
+ * @param traceparent trace context of the caller, empty if none
  */
-public record PrefillCall(String attempt, String model, String prompt, int priority) {
+public record PrefillCall(String attempt, String model, String prompt, int priority, String traceparent) {
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/PrefillResult.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/PrefillResult.java
@@ -31,4 +31,12 @@
 	record Broken(String message) implements PrefillResult {
 	}
 
+	/**
+	 * No connection could be opened; the engine received nothing.
+	 *
+	 * @param message the cause
+	 */
+	record Unreachable(String message) implements PrefillResult {
+	}
+
 }
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/edge/ModelStreamTests.java
@@ -0,0 +1,162 @@
+package io.balsamlane.router.edge;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import io.balsamlane.standin.engine.Prompt;
+import io.vertx.core.Future;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.json.JsonObject;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against answers that are incomplete, doubled or mixed up when engines fail, and
+ * against engine memory that stays allocated.
+ */
+class ModelStreamTests {
+
+	private static final int MAX_TOKENS = 60;
+
+	private static String prompt(int number) {
+		return "letter " + number + " " + "wax ".repeat(number % 40);
+	}
+
+	private static JsonObject body(String prompt) {
+		return new JsonObject().put("model", EdgeFixture.MODEL)
+			.put("prompt", prompt)
+			.put("max_tokens", MAX_TOKENS)
+			.put("stream", true);
+	}
+
+	private static Future<HttpClientRequest> post(EdgeFixture fixture, HttpClient client) {
+		return client.request(HttpMethod.POST, fixture.port(), "127.0.0.1", "/v1/completions");
+	}
+
+	private static Future<String> stream(EdgeFixture fixture, HttpClient client, String prompt) {
+		return post(fixture, client).compose((request) -> request.send(body(prompt).toBuffer()))
+			.compose((response) -> response.body())
+			.map((answer) -> text(answer.toString()));
+	}
+
+	private static String text(String events) {
+		String text = events.lines()
+			.filter((line) -> line.startsWith("data: {"))
+			.map((line) -> new JsonObject(line.substring(6)))
+			.map((event) -> event.containsKey("error") ? event.encode()
+					: event.getJsonArray("choices").getJsonObject(0).getString("text"))
+			.collect(Collectors.joining());
+		return events.endsWith("data: [DONE]\n\n") ? text : text + " (no end) " + events;
+	}
+
+	private static HttpClient client(EdgeFixture fixture, HttpVersion version) {
+		return fixture.vertx()
+			.createHttpClient(
+					new HttpClientOptions().setProtocolVersion(version)
+						.setHttp2ClearTextUpgrade(version == HttpVersion.HTTP_2),
+					new PoolOptions().setHttp1MaxSize(1000).setHttp2MaxSize(4));
+	}
+
+	@Test
+	void hundredsOfStreamsAreWholeWhileEnginesDie() {
+		try (EdgeFixture fixture = EdgeFixture.withEngines(3, 6).start(EdgeFixture.settings().build())) {
+			HttpClient client = client(fixture, HttpVersion.HTTP_1_1);
+			List<Future<String>> answers = new ArrayList<>();
+			for (int wave = 0; wave < 4; wave++) {
+				int first = wave * 100;
+				IntStream.range(first, first + 100)
+					.forEach((number) -> answers.add(stream(fixture, client, prompt(number))));
+				EdgeFixture.sleep(60);
+				if (wave < 3) {
+					fixture.stopEngine("decode-" + (wave + 1));
+				}
+				if (wave == 1) {
+					fixture.stopEngine("prefill-1");
+				}
+			}
+			for (int number = 0; number < answers.size(); number++) {
+				assertThat(EdgeFixture.await(answers.get(number))).as("answer %d", number)
+					.isEqualTo(Prompt.parse(prompt(number)).answer(MAX_TOKENS));
+			}
+			assertThat(fixture.callers().inProgress()).isZero();
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "muteStreams, decode-1", "stallTransfers, prefill-1", "frozen, prefill-1", "frozen, decode-1",
+			"leaving, decode-1", "leaving, prefill-1" })
+	void answerIsWholeWithOneFaultyEngine(String fault, String engine) {
+		try (EdgeFixture fixture = EdgeFixture.withEngines(2, 2).start(EdgeFixture.settings().build())) {
+			HttpClient client = client(fixture, HttpVersion.HTTP_2);
+			EdgeFixture.await(stream(fixture, client, "warm up"));
+			fixture.faults(engine, new JsonObject().put(fault, true));
+			List<Future<String>> answers = IntStream.range(0, 10)
+				.mapToObj((number) -> stream(fixture, client, prompt(number)))
+				.toList();
+			for (int number = 0; number < answers.size(); number++) {
+				assertThat(EdgeFixture.await(answers.get(number)))
+					.isEqualTo(Prompt.parse(prompt(number)).answer(MAX_TOKENS));
+			}
+		}
+	}
+
+	@Test
+	void leavingEngineGetsNothingNewAlthoughTheHostListShowsItAsLive() {
+		try (EdgeFixture fixture = EdgeFixture.withEngines(1, 2).start(EdgeFixture.settings().build())) {
+			HttpClient client = client(fixture, HttpVersion.HTTP_1_1);
+			fixture.faults("decode-1", new JsonObject().put("leaving", true));
+			IntStream.range(0, 8).forEach((number) -> EdgeFixture.await(stream(fixture, client, prompt(number))));
+			fixture.faults("decode-1", new JsonObject().put("leaving", false));
+			IntStream.range(0, 8).forEach((number) -> EdgeFixture.await(stream(fixture, client, prompt(number))));
+			assertThat(fixture.ledger("decode-1")).isEqualTo("[]");
+		}
+	}
+
+	@Test
+	void memoryIsFreeAfterCallersCloseInEveryPhase() {
+		try (EdgeFixture fixture = EdgeFixture.withEngines(1, 2).start(EdgeFixture.settings().build())) {
+			HttpClient client = client(fixture, HttpVersion.HTTP_1_1);
+			fixture.faults("decode-2", new JsonObject().put("muteStreams", true));
+			for (int number = 0; number < 40; number++) {
+				HttpClientRequest request = EdgeFixture.await(post(fixture, client));
+				request.send(body(prompt(number)).toBuffer());
+				EdgeFixture.sleep(number / 4);
+				request.reset();
+			}
+			EdgeFixture.awaitThat("all memory is free", () -> fixture.usedPieces() == 0);
+			EdgeFixture.awaitThat("no request is held", () -> fixture.callers().inProgress() == 0);
+		}
+	}
+
+	@Test
+	void refusalSaysNotRunOnlyIfNoEngineRanAnything() {
+		try (EdgeFixture fixture = EdgeFixture.withEngines(1, 1).start(EdgeFixture.settings().build())) {
+			HttpClient client = client(fixture, HttpVersion.HTTP_1_1);
+			fixture.faults("decode-1", new JsonObject().put("frozen", true));
+			JsonObject ranOnPrefill = refusal(fixture, client, "frozen decode");
+			assertThat(ranOnPrefill.getString("ran")).isEqualTo("yes");
+			fixture.faults("prefill-1", new JsonObject().put("leaving", true));
+			JsonObject notRun = refusal(fixture, client, "leaving prefill");
+			assertThat(notRun.getString("ran")).isEqualTo("no");
+			assertThat(fixture.ledger("prefill-1")).doesNotContain("router-1-1-1.");
+		}
+	}
+
+	private static JsonObject refusal(EdgeFixture fixture, HttpClient client, String prompt) {
+		return EdgeFixture
+			.await(post(fixture, client).compose((request) -> request.send(body(prompt).toBuffer()))
+				.compose((response) -> response.body()))
+			.toJsonObject();
+	}
+
+}
