--- /dev/null
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/retry/ServerAvailabilityTests.java
@@ -0,0 +1,59 @@
+package io.balsamlane.core.retry;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against new work for a server that is leaving or failing.
+ */
+class ServerAvailabilityTests {
+
+	private static final String SERVER = "decode-1";
+
+	private ServerAvailability availability;
+
+	@BeforeEach
+	void setUp() {
+		this.availability = ServerAvailability.create(3, 100, 1000, 4);
+	}
+
+	@Test
+	void lagOfTheHostListDoesNotCancelTheOwnAnswer() {
+		this.availability.saidLeaving(SERVER, 0);
+		this.availability.listed(SERVER, false);
+		this.availability.succeeded(SERVER);
+		assertThat(this.availability.available(SERVER, 1)).isFalse();
+	}
+
+	@Test
+	void serverThatTheHostListShowedAsLeavingAndShowsAgainIsNew() {
+		this.availability.saidLeaving(SERVER, 0);
+		this.availability.listed(SERVER, true);
+		assertThat(this.availability.available(SERVER, 1)).isFalse();
+		this.availability.listed(SERVER, false);
+		assertThat(this.availability.available(SERVER, 2)).isTrue();
+	}
+
+	@Test
+	void failuresInARowPauseAndOneMorePausesAgain() {
+		this.availability.failed(SERVER, 0);
+		this.availability.succeeded(SERVER);
+		this.availability.failed(SERVER, 1);
+		this.availability.failed(SERVER, 2);
+		assertThat(this.availability.available(SERVER, 3)).isTrue();
+		this.availability.failed(SERVER, 4);
+		assertThat(this.availability.available(SERVER, 5)).isFalse();
+		assertThat(this.availability.available(SERVER, 104)).isTrue();
+		this.availability.failed(SERVER, 110);
+		assertThat(this.availability.available(SERVER, 111)).isFalse();
+	}
+
+	@Test
+	void deathPausesAtOnce() {
+		this.availability.died(SERVER, 0);
+		assertThat(this.availability.available(SERVER, 1)).isFalse();
+	}
+
+}
