--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -4,16 +4,12 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 
-import com.codahale.metrics.Gauge;
-import com.codahale.metrics.MetricRegistry;
-import io.balsamlane.core.membership.Member;
 import io.balsamlane.core.model.BackendServer;
-import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
-import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
+import io.balsamlane.router.admin.OperatorParts;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
 import io.balsamlane.router.decision.GrantService;
 import io.balsamlane.router.decision.LocalGrantService;
@@ -26,11 +22,16 @@
 import io.balsamlane.router.engine.EngineHealth;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
-import io.balsamlane.router.peer.PeerNetwork;
-import io.balsamlane.router.peer.StandalonePeerNetwork;
+import io.balsamlane.router.log.LogContext;
+import io.balsamlane.router.metrics.MeteredGrantService;
+import io.balsamlane.router.metrics.MeteredIntentService;
+import io.balsamlane.router.metrics.MeteredPlatformStore;
+import io.balsamlane.router.metrics.RouterMetrics;
+import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
 import io.balsamlane.router.store.PlatformStore;
+import io.balsamlane.router.timeline.EventGatherer;
 import io.balsamlane.router.timeline.Timeline;
 import io.balsamlane.schema.Configuration;
 import io.balsamlane.schema.EventKind;
@@ -66,31 +67,49 @@
 
 	private final EngineAuditor auditor;
 
+	private final NettyPeerNetwork peers;
+
 	private final CallerServer callers;
 
 	private final AdminServer admin;
 
+	private final RouterMetrics metrics = RouterMetrics.create();
+
 	private volatile HostList hosts = HostList.empty();
 
+	private volatile Runnable drained = () -> {
+	};
+
+	private Promise<Void> stopped;
+
 	private RouterDaemon(Vertx vertx, Settings settings) {
 		this.vertx = vertx;
 		this.settings = settings;
 		String host = settings.getNode().getHost();
 		this.timeline = Timeline.create(host, settings.getTimeline().getCapacityEvents(), System::currentTimeMillis);
 		this.state = RouterState.create(routes(Configuration.getDefaultInstance()));
-		PlatformStore store = HttpPlatformStore.create(vertx, settings.getStore());
+		PlatformStore store = MeteredPlatformStore.of(HttpPlatformStore.create(vertx, settings.getStore()),
+				this.metrics);
 		this.configuration = ConfigurationKeeper.create(vertx, store, settings.getStore().getRetryPauseMillis(),
 				this::applied);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
+		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
 		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
 				settings.getScheduling().getPieceTokens());
-		PeerNetwork network = StandalonePeerNetwork.create(self(settings));
-		this.modelPath = modelPath(vertx, settings, grants, network);
-		this.auditor = EngineAuditor.create(this.modelPath.context(), network, this.modelPath.engines(),
+		this.modelPath = modelPath(MeteredGrantService.of(grants, this.metrics));
+		this.auditor = EngineAuditor.create(this.modelPath.context(), this.peers, this.modelPath.engines(),
 				this.modelPath.canceller(), this.timeline, this::engines, settings.getEngines().getAuditMillis());
-		this.callers = CallerServer.create(this.modelPath, this.state, SingleKeyIntentService.create(store),
-				network.members().self().incarnation());
-		this.admin = AdminServer.create(vertx, settings, this.state, this.configuration, this.timeline, metrics());
+		this.callers = CallerServer.create(this.modelPath, this.state,
+				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics),
+				this.peers.members().self().incarnation());
+		this.admin = AdminServer.create(vertx, settings,
+				new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
+						EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress,
+						this::drain, this.peers::table));
+		this.metrics.members(() -> this.peers.members().members().size());
+		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
+				() -> this.state.ready() ? 1 : 0);
+		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
 	/**
@@ -103,32 +122,19 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
-	private static Member self(Settings settings) {
-		return new Member(HostName.of(settings.getNode().getHost()), System.currentTimeMillis(),
-				Place.of(settings.getNode().getPlace()),
-				Endpoint.of(settings.getNode().getAddress(), Math.max(1, settings.getPeer().getPort())));
-	}
-
-	private ModelPath modelPath(Vertx vertx, Settings settings, GrantService grants, PeerNetwork network) {
-		Context context = vertx.getOrCreateContext();
-		EngineClient engines = HttpEngineClient.create(vertx, settings.getEngines());
-		return new ModelPath(context, settings, grants, engines,
-				EngineHealth.create(context, engines, network, this.timeline, settings.getEngines()),
-				EngineCanceller.create(vertx, engines, settings.getEngines()), CarriedAttempts.create(network),
-				this.timeline);
+	private ModelPath modelPath(GrantService grants) {
+		Context context = this.vertx.getOrCreateContext();
+		EngineClient engines = HttpEngineClient.create(this.vertx, this.settings.getEngines());
+		return new ModelPath(context, this.settings, grants, engines,
+				EngineHealth.create(context, engines, this.peers, this.timeline, this.settings.getEngines()),
+				EngineCanceller.create(this.vertx, engines, this.settings.getEngines()),
+				CarriedAttempts.create(this.peers), this.timeline);
 	}
 
 	private List<BackendServer> engines() {
 		return this.hosts.servers().stream().filter((server) -> server.kind() == BackendServer.Kind.ENGINE).toList();
 	}
 
-	private MetricRegistry metrics() {
-		MetricRegistry registry = new MetricRegistry();
-		registry.register("configuration_revision", (Gauge<Long>) () -> this.state.routes().revision());
-		registry.register("requests_in_progress", (Gauge<Integer>) () -> this.callers.inProgress());
-		return registry;
-	}
-
 	/**
 	 * Starts all parts.
 	 * @return the ports, once requests are accepted
@@ -139,32 +145,56 @@
 		this.hostReader.start();
 		this.auditor.start();
 		return this.callers.start()
-			.compose((callerPort) -> this.admin.start().map((adminPort) -> new Ports(callerPort, adminPort)))
+			.compose((callerPort) -> this.admin.start()
+				.compose((adminPort) -> this.peers.start(adminPort)
+					.map((peerPort) -> new Ports(callerPort, adminPort, peerPort))))
 			.onSuccess((ports) -> logger.log(Level.INFO,
-					"Listening for callers on port {0,number,#}, for operators on {1,number,#}", ports.callers(),
-					ports.admin()));
+					"Listening for callers on port {0,number,#}, for operators on {1,number,#}, for routers on {2,number,#}",
+					ports.callers(), ports.admin(), ports.peer()));
 	}
 
 	/**
 	 * Fails the readiness check, waits for the balancer and for all requests, then stops.
+	 * A further call joins the stop that is under way.
 	 * @return completes when everything has stopped
 	 */
-	public Future<Void> stop() {
+	public synchronized Future<Void> stop() {
+		if (this.stopped == null) {
+			this.stopped = Promise.promise();
+			stopOnce().onComplete(this.stopped);
+		}
+		return this.stopped.future();
+	}
+
+	/**
+	 * Sets what follows an operator's order to drain this router.
+	 * @param action runs once everything has stopped
+	 */
+	public void onDrained(Runnable action) {
+		this.drained = action;
+	}
+
+	private void drain() {
+		stop().onComplete((done) -> this.drained.run());
+	}
+
+	private Future<Void> stopOnce() {
 		this.state.setDraining();
 		this.timeline.record(EventKind.PROCESS_STOPPING, "", 0, this.settings.getNode().getHost(), "");
-		Promise<Void> drained = Promise.promise();
+		Promise<Void> idle = Promise.promise();
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
 		long deadlineNanos = System.nanoTime() + (noticeMillis + this.settings.getEdge().getDrainMillis()) * 1_000_000L;
 		this.vertx.setTimer(noticeMillis, (id) -> {
 			this.callers.refuseNew();
-			awaitDrained(deadlineNanos, drained);
+			this.peers.leave();
+			awaitDrained(deadlineNanos, idle);
 		});
-		return drained.future().compose((done) -> {
+		return idle.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
 			this.auditor.stop();
 			return this.callers.stop();
-		}).compose((done) -> this.admin.stop());
+		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
 	}
 
 	private void awaitDrained(long deadlineNanos, Promise<Void> drained) {
@@ -178,13 +208,17 @@
 
 	private synchronized void applied(Configuration next) {
 		this.state.setRoutes(routes(next));
+		this.peers.announceRevision(next.getRevision());
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
-		logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
+		try (LogContext context = LogContext.revision(next.getRevision())) {
+			logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
+		}
 	}
 
 	private synchronized void hostsChanged(HostList next) {
 		this.hosts = next;
 		this.modelPath.health().hostsChanged(next);
+		this.peers.seed(next.routers());
 		this.state.setRoutes(routes(this.configuration.applied()));
 	}
 
@@ -198,8 +232,9 @@
 	 *
 	 * @param callers port for callers
 	 * @param admin port for operators
+	 * @param peer port for other routers
 	 */
-	public record Ports(int callers, int admin) {
+	public record Ports(int callers, int admin, int peer) {
 	}
 
 }
