--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterMain.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterMain.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 
+import io.balsamlane.router.edge.FirstRequestTransport;
 import io.balsamlane.router.settings.SettingsLoader;
 import io.balsamlane.router.settings.SettingsResult;
 import io.balsamlane.schema.Settings;
@@ -86,7 +87,7 @@
 	}
 
 	private static void start(Settings settings) {
-		Vertx vertx = Vertx.vertx();
+		Vertx vertx = FirstRequestTransport.createVertx(settings.getEdge().getIdleTimeoutMillis());
 		RouterDaemon daemon = RouterDaemon.create(vertx, settings);
 		daemon.onDrained(() -> new Thread(() -> System.exit(0), "exit").start());
 		daemon.start()
--- a/balsamlane-router/src/test/java/io/balsamlane/router/edge/EdgeFixture.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/edge/EdgeFixture.java
@@ -53,9 +53,11 @@
 
 	static final String MODEL = "draft-service";
 
+	private static final int FIRST_REQUEST_MILLIS = 400;
+
 	private static final long SEED = 7;
 
-	private final Vertx vertx = Vertx.vertx();
+	private final Vertx vertx = FirstRequestTransport.createVertx(FIRST_REQUEST_MILLIS);
 
 	private final FleetHttp control = FleetHttp.create();
 
