--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -12,7 +12,7 @@
 import io.balsamlane.router.admin.OperatorParts;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
 import io.balsamlane.router.decision.GrantService;
-import io.balsamlane.router.decision.LocalGrantService;
+import io.balsamlane.router.decision.ModelScheduling;
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.edge.ModelPath;
 import io.balsamlane.router.engine.CarriedAttempts;
@@ -69,6 +69,8 @@
 
 	private final NettyPeerNetwork peers;
 
+	private final ModelScheduling scheduling;
+
 	private final CallerServer callers;
 
 	private final AdminServer admin;
@@ -94,9 +96,8 @@
 				this::applied);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
 		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
-		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
-				settings.getScheduling().getPieceTokens());
-		this.modelPath = modelPath(MeteredGrantService.of(grants, this.metrics));
+		this.scheduling = ModelScheduling.create(vertx, this.peers, settings);
+		this.modelPath = modelPath(MeteredGrantService.of(this.scheduling.grants(), this.metrics));
 		this.auditor = EngineAuditor.create(this.modelPath.context(), this.peers, this.modelPath.engines(),
 				this.modelPath.canceller(), this.timeline, this::engines, settings.getEngines().getAuditMillis());
 		this.callers = CallerServer.create(this.modelPath, this.state,
@@ -109,6 +110,7 @@
 		this.metrics.members(() -> this.peers.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
+		this.scheduling.registerMetrics(this.metrics);
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
@@ -141,6 +143,7 @@
 	 */
 	public Future<Ports> start() {
 		this.timeline.record(EventKind.PROCESS_STARTED, "", 0, this.settings.getNode().getHost(), "");
+		this.scheduling.start();
 		this.configuration.start();
 		this.hostReader.start();
 		this.auditor.start();
@@ -193,6 +196,7 @@
 			this.configuration.stop();
 			this.hostReader.stop();
 			this.auditor.stop();
+			this.scheduling.stop();
 			return this.callers.stop();
 		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
 	}
@@ -209,6 +213,7 @@
 	private synchronized void applied(Configuration next) {
 		this.state.setRoutes(routes(next));
 		this.peers.announceRevision(next.getRevision());
+		this.scheduling.setTopology(next, this.hosts);
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		try (LogContext context = LogContext.revision(next.getRevision())) {
 			logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
@@ -220,6 +225,7 @@
 		this.modelPath.health().hostsChanged(next);
 		this.peers.seed(next.routers());
 		this.state.setRoutes(routes(this.configuration.applied()));
+		this.scheduling.setTopology(this.configuration.applied(), next);
 	}
 
 	private RouteTable routes(Configuration next) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/ErrorKind.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/ErrorKind.java
@@ -52,6 +52,18 @@
 	/** Every engine that the request may reach is leaving or has failed. */
 	NO_ENGINE(503, "Send the request again after the given time"),
 
+	/** The caller is at its quota of requests or tokens. */
+	QUOTA_EXCEEDED(429, "Send fewer requests, or ask an operator to raise the caller's quota"),
+
+	/** No decode engine has memory for the prompt and {@code max_tokens}. */
+	TOO_LARGE(413, "Shorten the prompt or lower max_tokens"),
+
+	/** The first token would come later than its target. */
+	DEADLINE(503, "Send the request again after the given time"),
+
+	/** The queue of the scheduling domain is full. */
+	OVERLOADED(503, "Send the request again after the given time"),
+
 	/** Engines failed in every attempt. */
 	ATTEMPTS_EXHAUSTED(503, "Send the request again after the given time"),
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/FirstRequestTransport.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/FirstRequestTransport.java
@@ -18,9 +18,9 @@
  * Closes accepted connections that do not send the head of a first request in time.
  * <p>
  * Vert.x tells a server about a connection only with its first whole head, because until
- * then it does not know whether HTTP/1.1 or HTTP/2 is spoken; a caller that sends one byte
- * at a time would be held for ever. No interface of Vert.x reaches such connections, so
- * this class watches them where they are accepted.
+ * then it does not know whether HTTP/1.1 or HTTP/2 is spoken; a caller that sends one
+ * byte at a time would be held for ever. No interface of Vert.x reaches such connections,
+ * so this class watches them where they are accepted.
  */
 public final class FirstRequestTransport extends NioTransport {
 
--- a/balsamlane-router/src/test/java/io/balsamlane/router/edge/CallerInputTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/edge/CallerInputTests.java
@@ -29,7 +29,7 @@
 	void setUp() {
 		Settings.Builder settings = EdgeFixture.settings();
 		settings.getEdgeBuilder().setIdleTimeoutMillis(400).setBodyTimeoutMillis(400).setMaxStreamBufferBytes(2000);
-		this.fixture = EdgeFixture.withEngines(1, 1).start(settings.build());
+		this.fixture = EdgeFixture.withEngines(1, 1, 400).start(settings.build());
 	}
 
 	@AfterEach
@@ -125,15 +125,16 @@
 	@Test
 	void newRequestsAreRefusedAsNotRunWhileStreamsFinish() throws IOException {
 		String body = "{\"model\":\"draft-service\",\"max_tokens\":40,\"stream\":true,\"prompt\":\"wax\"}";
-		try (Socket running = new Socket("127.0.0.1", this.fixture.port());
-				Socket late = new Socket("127.0.0.1", this.fixture.port())) {
+		try (Socket running = new Socket("127.0.0.1", this.fixture.port())) {
 			running.getOutputStream().write(post("", body).getBytes(StandardCharsets.UTF_8));
 			EdgeFixture.awaitThat("the stream runs", () -> this.fixture.callers().inProgress() == 1);
 			this.fixture.callers().refuseNew();
-			late.getOutputStream().write(post("", body).getBytes(StandardCharsets.UTF_8));
-			assertThat(read(late)).startsWith("HTTP/1.1 503")
-				.containsIgnoringCase("connection: close")
-				.contains("shutting-down", "\"ran\":\"no\"");
+			try (Socket late = new Socket("127.0.0.1", this.fixture.port())) {
+				late.getOutputStream().write(post("", body).getBytes(StandardCharsets.UTF_8));
+				assertThat(read(late)).startsWith("HTTP/1.1 503")
+					.containsIgnoringCase("connection: close")
+					.contains("shutting-down", "\"ran\":\"no\"");
+			}
 			assertThat(read(running)).contains("data: [DONE]");
 		}
 	}
--- a/balsamlane-router/src/test/java/io/balsamlane/router/edge/EdgeFixture.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/edge/EdgeFixture.java
@@ -16,6 +16,7 @@
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.model.ServerName;
 import io.balsamlane.core.routing.RouteTable;
+import io.balsamlane.core.scheduling.EnginePolicy;
 import io.balsamlane.router.RouterState;
 import io.balsamlane.router.decision.LocalGrantService;
 import io.balsamlane.router.engine.CarriedAttempts;
@@ -53,11 +54,11 @@
 
 	static final String MODEL = "draft-service";
 
-	private static final int FIRST_REQUEST_MILLIS = 400;
+	private static final int FIRST_REQUEST_MILLIS = 10_000;
 
 	private static final long SEED = 7;
 
-	private final Vertx vertx = FirstRequestTransport.createVertx(FIRST_REQUEST_MILLIS);
+	private final Vertx vertx;
 
 	private final FleetHttp control = FleetHttp.create();
 
@@ -73,6 +74,10 @@
 
 	private int port;
 
+	private EdgeFixture(int firstRequestMillis) {
+		this.vertx = FirstRequestTransport.createVertx(firstRequestMillis);
+	}
+
 	static Settings.Builder settings() {
 		return Settings.newBuilder()
 			.setNode(NodeSettings.newBuilder()
@@ -127,8 +132,8 @@
 		Context context = this.vertx.getOrCreateContext();
 		HttpEngineClient client = HttpEngineClient.create(this.vertx, settings.getEngines());
 		ModelPath path = new ModelPath(context, settings,
-				LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(SEED), 2048), client,
-				EngineHealth.create(context, client, network, this.timeline, settings.getEngines()),
+				LocalGrantService.create(EnginePolicy.twoChoices(RandomSource.XO_RO_SHI_RO_128_PP.create(SEED)), 2048),
+				client, EngineHealth.create(context, client, network, this.timeline, settings.getEngines()),
 				EngineCanceller.create(this.vertx, client, settings.getEngines()), CarriedAttempts.create(network),
 				this.timeline);
 		this.callers = CallerServer.create(path, state, new NoIntents(), 1);
@@ -137,7 +142,11 @@
 	}
 
 	static EdgeFixture withEngines(int prefill, int decode) {
-		EdgeFixture fixture = new EdgeFixture();
+		return withEngines(prefill, decode, FIRST_REQUEST_MILLIS);
+	}
+
+	static EdgeFixture withEngines(int prefill, int decode, int firstRequestMillis) {
+		EdgeFixture fixture = new EdgeFixture(firstRequestMillis);
 		for (int index = 1; index <= prefill; index++) {
 			fixture.engine("prefill-" + index, EngineRole.PREFILL);
 		}
