Operators' tool with preconditions, and contract tests of the operator port

Cause: balsamlanectl had four commands, asked one router, and sent changes without telling what they reach or where they are in force. Change: ten commands with help, examples and exit codes; get -o ini carries the revision of each object, so that two editors of one object conflict and the second is shown the other's change; a lost answer is settled with the same change id; the time line as text, JSON lines and a picture.

--- a/balsamlane-cli/src/main/java/io/balsamlane/cli/ControlMain.java
+++ b/balsamlane-cli/src/main/java/io/balsamlane/cli/ControlMain.java
@@ -1,20 +1,12 @@
 package io.balsamlane.cli;
 
-import java.io.IOException;
-import java.net.URI;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.io.PrintStream;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.UUID;
-import java.util.stream.Stream;
-
-import io.balsamlane.schema.Change;
-import io.balsamlane.schema.Configuration;
-import io.balsamlane.schema.Event;
-import io.balsamlane.schema.EventReply;
-import io.balsamlane.schema.ObjectChange;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
 import io.vertx.core.Vertx;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -22,28 +14,26 @@
 import org.apache.commons.cli.ParseException;
 
 /**
- * Entry point of {@code balsamlanectl}. Exit codes: 0 done, 1 refused, 2 bad usage, 3 no
- * router reachable.
+ * Entry point of {@code balsamlanectl}; see {@link ExitCode} for its exit codes.
  */
 public final class ControlMain {
 
-	private static final int EXIT_REFUSED = 1;
+	private static final List<Command> COMMANDS = List.of(new GetCommand(), new DescribeCommand(), new DiffCommand(),
+			new ApplyCommand(), new HistoryCommand(), new RollbackCommand(), new ExplainCommand(), new StatusCommand(),
+			new DrainCommand(), new TimelineCommand());
+
+	private static final String DEFAULT_SERVER = "http://127.0.0.1:8081";
 
-	private static final int EXIT_USAGE = 2;
+	private final Map<String, String> environment;
 
-	private static final int EXIT_UNREACHABLE = 3;
+	private final PrintStream out;
 
-	private static final String USAGE = """
-			usage: balsamlanectl --server URL[,URL...] COMMAND [options]
-			  apply --file FILE   submit the objects of an INI file
-			  get                 print the configuration in force
-			  status              print the state of the routers
-			  timeline            print the events of all named routers in causal order
-			Exit codes: 0 done, 1 refused, 2 bad usage, 3 no router reachable
-			Example: balsamlanectl --server http://127.0.0.1:8081 apply --file pools.ini
-			""";
+	private final PrintStream err;
 
-	private ControlMain() {
+	private ControlMain(Map<String, String> environment, PrintStream out, PrintStream err) {
+		this.environment = environment;
+		this.out = out;
+		this.err = err;
 	}
 
 	/**
@@ -51,111 +41,103 @@
 	 * @param args see {@code --help}
 	 */
 	public static void main(String[] args) {
-		Options options = new Options().addOption(null, "server", true, "operator URLs of routers")
-			.addOption(null, "key", true, "shared key")
-			.addOption("f", "file", true, "INI file with objects")
-			.addOption(null, "request", true, "request id")
-			.addOption(null, "help", false, "print help")
-			.addOption(null, "version", false, "print the version");
-		Vertx vertx = Vertx.vertx();
-		int exit;
+		System.exit(run(System.getenv(), System.out, System.err, args));
+	}
+
+	/**
+	 * Runs one command.
+	 * @param environment environment variables
+	 * @param out receives results
+	 * @param err receives errors
+	 * @param args see {@code --help}
+	 * @return the exit code
+	 */
+	static int run(Map<String, String> environment, PrintStream out, PrintStream err, String... args) {
+		ControlMain main = new ControlMain(environment, out, err);
 		try {
-			exit = run(vertx, new DefaultParser().parse(options, args));
+			return main.run(args).code();
 		}
-		catch (ParseException | UsageException | IOException ex) {
-			System.err.println("balsamlanectl: " + ex.getMessage());
-			System.err.print(USAGE);
-			exit = EXIT_USAGE;
+		catch (ParseException ex) {
+			err.println("balsamlanectl: " + ex.getMessage() + ". See balsamlanectl --help");
+			return ExitCode.USAGE.code();
 		}
-		catch (RouterClient.UnreachableException ex) {
-			System.err.println("balsamlanectl: " + ex.getMessage());
-			exit = EXIT_UNREACHABLE;
+		catch (CommandException ex) {
+			err.println("balsamlanectl: " + ex.getMessage());
+			return ex.exitCode().code();
 		}
-		vertx.close();
-		System.exit(exit);
 	}
 
-	private static int run(Vertx vertx, CommandLine line) throws IOException {
-		if (line.hasOption("help") || line.getArgList().isEmpty()) {
-			System.out.print(USAGE);
-			return 0;
+	private ExitCode run(String[] args) throws ParseException {
+		CommandLine first = new DefaultParser().parse(HelpText.globalOptions(), args, true);
+		if (first.getArgList().isEmpty()) {
+			return withoutCommand(first);
 		}
-		List<RouterClient> routers = Stream.of(line.getOptionValue("server", "http://127.0.0.1:8081").split(","))
-			.map((url) -> RouterClient.create(vertx, URI.create(url), line.getOptionValue("key", "")))
-			.toList();
-		return switch (line.getArgList().get(0)) {
-			case "apply" -> apply(routers.get(0), Files.readString(Path.of(line.getOptionValue("file"))));
-			case "get" -> print(routers.get(0).get("configuration"));
-			case "status" -> routers.stream().mapToInt((router) -> print(router.get("status"))).max().orElse(0);
-			case "timeline" -> timeline(routers, line.getOptionValue("request", ""));
-			default -> throw new UsageException("Unknown command " + line.getArgList().get(0));
-		};
-	}
-
-	private static int print(RouterClient.Answer answer) {
-		System.out.println(answer.body());
-		return (answer.status() < 300) ? 0 : EXIT_REFUSED;
+		String name = first.getArgList().get(0);
+		Optional<Command> command = COMMANDS.stream().filter((known) -> known.name().equals(name)).findFirst();
+		if (command.isEmpty()) {
+			throw new ParseException(name.startsWith("-") ? "Unknown option " + name + " before the command"
+					: "Unknown command " + name);
+		}
+		Options options = HelpText.globalOptions();
+		command.get().options().getOptions().forEach(options::addOption);
+		CommandLine line = new DefaultParser().parse(options, args);
+		if (line.hasOption("help")) {
+			this.out.print(HelpText.of(command.get()));
+			return ExitCode.DONE;
+		}
+		return run(command.get(), line);
 	}
 
-	private static int apply(RouterClient router, String text) {
-		Configuration current = router.read("configuration", Configuration.newBuilder()).build();
-		List<ObjectChange> objects = ObjectFile.parse(text)
-			.stream()
-			.map((object) -> object.toBuilder().setExpectedRevision(revision(current, object)).build())
-			.toList();
-		Change change = Change.newBuilder()
-			.setChangeId(UUID.randomUUID().toString())
-			.setAuthor(System.getProperty("user.name", ""))
-			.addAllObjects(objects)
-			.build();
-		return print(router.post("changes", change));
+	private ExitCode withoutCommand(CommandLine line) {
+		if (line.hasOption("version")) {
+			String version = ControlMain.class.getPackage().getImplementationVersion();
+			this.out.println("balsamlanectl " + ((version != null) ? version : "development"));
+			return ExitCode.DONE;
+		}
+		if (line.hasOption("help")) {
+			this.out.print(HelpText.of(COMMANDS));
+			return ExitCode.DONE;
+		}
+		this.err.print(HelpText.of(COMMANDS));
+		return ExitCode.USAGE;
 	}
 
-	private static long revision(Configuration current, ObjectChange object) {
-		return switch (object.getKind()) {
-			case POOL -> current.getPoolsList()
-				.stream()
-				.filter((pool) -> pool.getName().equals(object.getName()))
-				.mapToLong((pool) -> pool.getChangedRevision())
-				.findFirst()
-				.orElse(0);
-			case SERVICE -> current.getServicesList()
-				.stream()
-				.filter((service) -> service.getName().equals(object.getName()))
-				.mapToLong((service) -> service.getChangedRevision())
-				.findFirst()
-				.orElse(0);
-			case SELECTOR -> current.getSelectorsList()
-				.stream()
-				.filter((selector) -> selector.getName().equals(object.getName()))
-				.mapToLong((selector) -> selector.getChangedRevision())
-				.findFirst()
-				.orElse(0);
-			case CALLER -> current.getCallersList()
-				.stream()
-				.filter((caller) -> caller.getName().equals(object.getName()))
-				.mapToLong((caller) -> caller.getChangedRevision())
-				.findFirst()
-				.orElse(0);
-			default -> 0;
-		};
+	private ExitCode run(Command command, CommandLine line) {
+		String format = line.getOptionValue("output", "text");
+		List<String> formats = (command instanceof GetCommand) ? List.of("text", "json", "ini")
+				: List.of("text", "json");
+		if (!formats.contains(format)) {
+			throw CommandException.usage("--output is \"" + format + "\"; use one of " + String.join(", ", formats));
+		}
+		List<String> arguments = new ArrayList<>(line.getArgList()).subList(1, line.getArgList().size());
+		if (arguments.size() > command.arguments().split(" ").length
+				|| (command.arguments().isEmpty() && !arguments.isEmpty())) {
+			throw CommandException.usage("Unexpected argument " + arguments.get(arguments.size() - 1)
+					+ ". See balsamlanectl " + command.name() + " --help");
+		}
+		Vertx vertx = Vertx.vertx();
+		try {
+			RouterClient routers = RouterClient.create(vertx,
+					value(line, "server", "BALSAMLANE_SERVER", DEFAULT_SERVER),
+					value(line, "key", "BALSAMLANE_KEY", ""));
+			return command.run(new CommandContext(routers, line, arguments, this.out));
+		}
+		finally {
+			close(vertx);
+		}
 	}
 
-	private static int timeline(List<RouterClient> routers, String requestId) {
-		List<Event> events = new ArrayList<>();
-		routers.forEach((router) -> events
-			.addAll(router.read("events?request=" + requestId, EventReply.newBuilder()).getEventsList()));
-		events.stream()
-			.sorted(Comparator.comparingLong(Event::getHybridTime))
-			.map(ControlMain::format)
-			.forEach(System.out::println);
-		return 0;
+	private String value(CommandLine line, String option, String variable, String standard) {
+		return line.getOptionValue(option, this.environment.getOrDefault(variable, standard));
 	}
 
-	private static String format(Event event) {
-		return String.format("%tT.%<tL %-10s %-22s %s%s %s %s", event.getHybridTime() >>> 16, event.getHost(),
-				event.getKind(), event.getRequestId(), (event.getAttempt() > 0) ? "." + event.getAttempt() : "",
-				event.getSubject(), event.getDetail());
+	private static void close(Vertx vertx) {
+		try {
+			vertx.close().toCompletionStage().toCompletableFuture().get(5, TimeUnit.SECONDS);
+		}
+		catch (Exception ex) {
+			// The process ends anyway.
+		}
 	}
 
 }
--- /dev/null
+++ b/balsamlane-cli/src/test/java/io/balsamlane/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the operators' tool.
+ */
+package io.balsamlane.cli;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -62,6 +62,8 @@
 
 	private final CallerServer callers;
 
+	private final OperatorParts operatorParts;
+
 	private final AdminServer admin;
 
 	private final RouterMetrics metrics = RouterMetrics.create();
@@ -91,10 +93,9 @@
 				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics), this.timeline);
 		PeerNetwork network = StandalonePeerNetwork.create(new Member(HostName.of(host), 1,
 				Place.of(settings.getNode().getPlace()), Endpoint.of(settings.getNode().getAddress(), 1)));
-		this.admin = AdminServer.create(vertx, settings,
-				new OperatorParts(this.state, this.configuration, () -> this.hosts, network,
-						EventGatherer.create(this.timeline, network), this.metrics, this.callers::inProgress,
-						this::drain));
+		this.operatorParts = new OperatorParts(this.state, this.configuration, () -> this.hosts, network,
+				EventGatherer.create(this.timeline, network), this.metrics, this.callers::inProgress, this::drain);
+		this.admin = AdminServer.create(vertx, settings, this.operatorParts);
 		this.metrics.members(() -> network.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
@@ -111,6 +112,14 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
+	/**
+	 * Returns what operators can ask.
+	 * @return the parts
+	 */
+	public OperatorParts operatorParts() {
+		return this.operatorParts;
+	}
+
 	/**
 	 * Starts all parts.
 	 * @return the ports, once requests are accepted
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
 import io.balsamlane.schema.Settings;
@@ -34,6 +35,8 @@
 	// 1 MB; its JSON form is larger than the stored form.
 	private static final int MAX_BODY_BYTES = 2 << 20;
 
+	private static final int MAX_DISCARDED_BYTES = 16 << 20;
+
 	private static final int MAX_CONCURRENT_REQUESTS = 64;
 
 	private static final int IDLE_TIMEOUT_SECONDS = 60;
@@ -183,13 +186,20 @@
 		});
 	}
 
+	// The rest of a body that is too large is discarded before the connection closes,
+	// because
+	// a client that is still sending would lose the answer with the connection.
 	private static Future<Buffer> body(HttpServerRequest request) {
 		Promise<Buffer> promise = Promise.promise();
 		Buffer body = Buffer.buffer();
+		AtomicLong receivedBytes = new AtomicLong();
 		request.handler((part) -> {
-			if (body.length() + part.length() <= MAX_BODY_BYTES) {
+			if (receivedBytes.addAndGet(part.length()) <= MAX_BODY_BYTES) {
 				body.appendBuffer(part);
 			}
+			else if (receivedBytes.get() > MAX_DISCARDED_BYTES) {
+				request.connection().close();
+			}
 			else if (!request.response().ended()) {
 				request.response().putHeader("Connection", "close");
 				OperatorAnswer
@@ -199,9 +209,12 @@
 			}
 		});
 		request.endHandler((end) -> {
-			if (!request.response().ended()) {
+			if (receivedBytes.get() <= MAX_BODY_BYTES) {
 				promise.complete(body);
 			}
+			else {
+				request.connection().close();
+			}
 		});
 		return promise.future();
 	}
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the operator port.
+ */
+package io.balsamlane.router.admin;
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the log lines.
+ */
+package io.balsamlane.router.log;
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/metrics/RouterMetricsTests.java
@@ -0,0 +1,46 @@
+package io.balsamlane.router.metrics;
+
+import java.util.stream.IntStream;
+
+import org.approvaltests.Approvals;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a text form that collectors cannot read, and against memory that grows
+ * with label values.
+ */
+class RouterMetricsTests {
+
+	@Test
+	void textHasHelpTypeAndEscapedLabels() {
+		RouterMetrics metrics = RouterMetrics.create();
+		metrics.requestEnded("completed");
+		metrics.requestEnded("completed");
+		metrics.requestEnded("odd \"kind\" \\ with\nlines");
+		metrics.firstTokenSent(250_000_000);
+		metrics.tokenSent(20_000_000);
+		metrics.grantDecided("granted");
+		metrics.retried("attempt");
+		metrics.recordDecided("created");
+		metrics.storeCalled("get", "found", 1_000_000, true);
+		metrics.storeWatched("watch", "unavailable", false);
+		RingMetric ring = metrics.ring("timeline", 16);
+		ring.observe(9);
+		ring.observe(4);
+		metrics.members(() -> 3);
+		metrics.router(() -> 42, () -> 5, () -> 1);
+		Approvals.verify(metrics.text().replaceAll("(?m)^(balsamlane_store_age_seconds) .*", "$1 AGE"));
+	}
+
+	@Test
+	void numberOfLabelValuesIsBounded() {
+		RouterMetrics metrics = RouterMetrics.create();
+		IntStream.range(0, 10_000).forEach((index) -> metrics.requestEnded("kind-" + index));
+		assertThat(metrics.text().lines().filter((line) -> line.startsWith("balsamlane_requests_total{")))
+			.hasSizeLessThanOrEqualTo(65)
+			.contains("balsamlane_requests_total{outcome=\"other\"} 9936");
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the metrics.
+ */
+package io.balsamlane.router.metrics;
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/timeline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the time line.
+ */
+package io.balsamlane.router.timeline;
