--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -3,10 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 
-import io.balsamlane.core.membership.Member;
-import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
-import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
@@ -22,8 +19,7 @@
 import io.balsamlane.router.metrics.MeteredIntentService;
 import io.balsamlane.router.metrics.MeteredPlatformStore;
 import io.balsamlane.router.metrics.RouterMetrics;
-import io.balsamlane.router.peer.PeerNetwork;
-import io.balsamlane.router.peer.StandalonePeerNetwork;
+import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
 import io.balsamlane.router.store.PlatformStore;
@@ -60,6 +56,8 @@
 
 	private final HostListReader hostReader;
 
+	private final NettyPeerNetwork peers;
+
 	private final CallerServer callers;
 
 	private final OperatorParts operatorParts;
@@ -86,17 +84,17 @@
 		this.configuration = ConfigurationKeeper.create(vertx, store, settings.getStore().getRetryPauseMillis(),
 				this::applied);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
+		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
 		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
 				settings.getScheduling().getPieceTokens());
 		this.callers = CallerServer.create(vertx, settings, this.state, MeteredGrantService.of(grants, this.metrics),
 				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS),
 				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics), this.timeline);
-		PeerNetwork network = StandalonePeerNetwork.create(new Member(HostName.of(host), 1,
-				Place.of(settings.getNode().getPlace()), Endpoint.of(settings.getNode().getAddress(), 1)));
-		this.operatorParts = new OperatorParts(this.state, this.configuration, () -> this.hosts, network,
-				EventGatherer.create(this.timeline, network), this.metrics, this.callers::inProgress, this::drain);
+		this.operatorParts = new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
+				EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress, this::drain,
+				this.peers::table);
 		this.admin = AdminServer.create(vertx, settings, this.operatorParts);
-		this.metrics.members(() -> network.members().members().size());
+		this.metrics.members(() -> this.peers.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
@@ -129,10 +127,12 @@
 		this.configuration.start();
 		this.hostReader.start();
 		return this.callers.start()
-			.compose((callerPort) -> this.admin.start().map((adminPort) -> new Ports(callerPort, adminPort)))
+			.compose((callerPort) -> this.admin.start()
+				.compose((adminPort) -> this.peers.start(adminPort)
+					.map((peerPort) -> new Ports(callerPort, adminPort, peerPort))))
 			.onSuccess((ports) -> logger.log(Level.INFO,
-					"Listening for callers on port {0,number,#}, for operators on {1,number,#}", ports.callers(),
-					ports.admin()));
+					"Listening for callers on port {0,number,#}, for operators on {1,number,#}, for routers on {2,number,#}",
+					ports.callers(), ports.admin(), ports.peer()));
 	}
 
 	/**
@@ -166,12 +166,15 @@
 		Promise<Void> idle = Promise.promise();
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
 		long deadlineNanos = System.nanoTime() + (noticeMillis + this.settings.getEdge().getDrainMillis()) * 1_000_000L;
-		this.vertx.setTimer(noticeMillis, (id) -> awaitDrained(deadlineNanos, idle));
+		this.vertx.setTimer(noticeMillis, (id) -> {
+			this.peers.leave();
+			awaitDrained(deadlineNanos, idle);
+		});
 		return idle.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
 			return this.callers.stop();
-		}).compose((done) -> this.admin.stop());
+		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
 	}
 
 	private void awaitDrained(long deadlineNanos, Promise<Void> drained) {
@@ -185,6 +188,7 @@
 
 	private synchronized void applied(Configuration next) {
 		this.state.setRoutes(routes(next));
+		this.peers.announceRevision(next.getRevision());
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		try (LogContext context = LogContext.revision(next.getRevision())) {
 			logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
@@ -193,6 +197,7 @@
 
 	private synchronized void hostsChanged(HostList next) {
 		this.hosts = next;
+		this.peers.seed(next.routers());
 		this.state.setRoutes(routes(this.configuration.applied()));
 	}
 
@@ -206,8 +211,9 @@
 	 *
 	 * @param callers port for callers
 	 * @param admin port for operators
+	 * @param peer port for other routers
 	 */
-	public record Ports(int callers, int admin) {
+	public record Ports(int callers, int admin, int peer) {
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterMain.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterMain.java
@@ -90,7 +90,8 @@
 		RouterDaemon daemon = RouterDaemon.create(vertx, settings);
 		daemon.onDrained(() -> new Thread(() -> System.exit(0), "exit").start());
 		daemon.start()
-			.onSuccess((ports) -> System.out.println("ready callers=" + ports.callers() + " admin=" + ports.admin()))
+			.onSuccess((ports) -> System.out
+				.println("ready callers=" + ports.callers() + " admin=" + ports.admin() + " peer=" + ports.peer()))
 			.onFailure((cause) -> {
 				System.err.println("balsamlaned: cannot start: " + cause.getMessage()
 						+ "; check [node] address and the ports in the settings");
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
@@ -143,6 +143,7 @@
 			case API_PREFIX + "configuration" -> get(request, (asked) -> this.configuration.read());
 			case API_PREFIX + "explain" -> get(request, this.configuration::explain);
 			case API_PREFIX + "status" -> get(request, (asked) -> this.status.read());
+			case API_PREFIX + "members" -> get(request, (asked) -> this.status.members());
 			case API_PREFIX + "events" -> get(request, this.status::events);
 			case API_PREFIX + "changes" -> post(request, this.configuration::submit);
 			case API_PREFIX + "preview" -> post(request, this.configuration::preview);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/OperatorParts.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/OperatorParts.java
@@ -1,5 +1,6 @@
 package io.balsamlane.router.admin;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.function.Supplier;
 
@@ -9,6 +10,8 @@
 import io.balsamlane.router.metrics.RouterMetrics;
 import io.balsamlane.router.peer.PeerNetwork;
 import io.balsamlane.router.timeline.EventGatherer;
+import io.balsamlane.schema.MemberUpdate;
+import io.vertx.core.Future;
 
 /**
  * Parts of the daemon that operators can ask.
@@ -21,10 +24,11 @@
  * @param metrics metrics of this process
  * @param inProgress number of requests in progress
  * @param drain begins an orderly stop of this process
+ * @param memberTable every member that this router knows of, with its status
  */
 public record OperatorParts(RouterState state, ConfigurationKeeper configuration, Supplier<HostList> hosts,
-		PeerNetwork network, EventGatherer events, RouterMetrics metrics, Supplier<Integer> inProgress,
-		Runnable drain) {
+		PeerNetwork network, EventGatherer events, RouterMetrics metrics, Supplier<Integer> inProgress, Runnable drain,
+		Supplier<Future<List<MemberUpdate>>> memberTable) {
 
 	public OperatorParts {
 		Objects.requireNonNull(state, "state");
@@ -35,6 +39,7 @@
 		Objects.requireNonNull(metrics, "metrics");
 		Objects.requireNonNull(inProgress, "inProgress");
 		Objects.requireNonNull(drain, "drain");
+		Objects.requireNonNull(memberTable, "memberTable");
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/StatusHandlers.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/StatusHandlers.java
@@ -2,6 +2,7 @@
 
 import io.balsamlane.core.time.HybridClock;
 import io.balsamlane.schema.EventQuery;
+import io.balsamlane.schema.MemberSync;
 import io.balsamlane.schema.NodeSettings;
 import io.balsamlane.schema.Settings;
 import io.vertx.core.Future;
@@ -53,6 +54,13 @@
 					.put("members", members)));
 	}
 
+	Future<OperatorAnswer> members() {
+		return this.parts.memberTable()
+			.get()
+			.map((members) -> OperatorAnswer.message(MemberSync.newBuilder().addAllMembers(members)))
+			.otherwise((cause) -> OperatorAnswer.error(503, "busy", cause.getMessage(), "Try again"));
+	}
+
 	Future<OperatorAnswer> drain() {
 		this.parts.drain().run();
 		return Future.succeededFuture(OperatorAnswer.json(202,
