--- a/balsamlane-cli/src/main/java/io/balsamlane/cli/RouterClient.java
+++ b/balsamlane-cli/src/main/java/io/balsamlane/cli/RouterClient.java
@@ -157,10 +157,15 @@
 		if (!this.key.isEmpty()) {
 			options.putHeader("Authorization", "Bearer " + this.key);
 		}
+		// The steps are nested, so that each is attached on the event loop before the
+		// next
+		// event can arrive. In a flat chain built by this thread the whole answer could
+		// pass
+		// before its body is asked for, and the call would end in its timeout.
 		Future<Answer> answer = this.client.request(options)
-			.compose((request) -> request.send(body))
-			.compose((response) -> response.body()
-				.map((received) -> new Answer(response.statusCode(), received.toString())));
+			.compose((request) -> request.send(body)
+				.compose((response) -> response.body()
+					.map((received) -> new Answer(response.statusCode(), received.toString()))));
 		try {
 			return new CallResult(Optional
 				.of(answer.toCompletionStage().toCompletableFuture().get(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)),
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -9,8 +9,7 @@
 import io.balsamlane.router.admin.AdminServer;
 import io.balsamlane.router.admin.OperatorParts;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
-import io.balsamlane.router.decision.GrantService;
-import io.balsamlane.router.decision.LocalGrantService;
+import io.balsamlane.router.decision.ModelScheduling;
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
@@ -58,6 +57,8 @@
 
 	private final NettyPeerNetwork peers;
 
+	private final ModelScheduling scheduling;
+
 	private final CallerServer callers;
 
 	private final OperatorParts operatorParts;
@@ -85,9 +86,9 @@
 				this::applied);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
 		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
-		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
-				settings.getScheduling().getPieceTokens());
-		this.callers = CallerServer.create(vertx, settings, this.state, MeteredGrantService.of(grants, this.metrics),
+		this.scheduling = ModelScheduling.create(vertx, this.peers, settings);
+		this.callers = CallerServer.create(vertx, settings, this.state,
+				MeteredGrantService.of(this.scheduling.grants(), this.metrics),
 				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS),
 				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics), this.timeline);
 		this.operatorParts = new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
@@ -97,6 +98,7 @@
 		this.metrics.members(() -> this.peers.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
+		this.scheduling.registerMetrics(this.metrics);
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
@@ -124,6 +126,7 @@
 	 */
 	public Future<Ports> start() {
 		this.timeline.record(EventKind.PROCESS_STARTED, "", 0, this.settings.getNode().getHost(), "");
+		this.scheduling.start();
 		this.configuration.start();
 		this.hostReader.start();
 		return this.callers.start()
@@ -173,6 +176,7 @@
 		return idle.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
+			this.scheduling.stop();
 			return this.callers.stop();
 		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
 	}
@@ -189,6 +193,7 @@
 	private synchronized void applied(Configuration next) {
 		this.state.setRoutes(routes(next));
 		this.peers.announceRevision(next.getRevision());
+		this.scheduling.setTopology(next, this.hosts);
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		try (LogContext context = LogContext.revision(next.getRevision())) {
 			logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
@@ -199,6 +204,7 @@
 		this.hosts = next;
 		this.peers.seed(next.routers());
 		this.state.setRoutes(routes(this.configuration.applied()));
+		this.scheduling.setTopology(this.configuration.applied(), next);
 	}
 
 	private RouteTable routes(Configuration next) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/metrics/Metric.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/Metric.java
@@ -37,6 +37,14 @@
 
 	REQUESTS_IN_PROGRESS("gauge", "Requests of callers in progress"),
 
+	SCHEDULER_LIVE_GRANTS("gauge", "Grants that the schedulers of this router keep account of"),
+
+	SCHEDULER_WAITING_REQUESTS("gauge", "Requests that wait in the queues of the schedulers of this router"),
+
+	SCHEDULER_FALLBACKS_TOTAL("counter", "Grants that this router decided itself because no scheduler answered"),
+
+	CROSS_REGION_BYTES_TOTAL("counter", "Bytes that grants of this router send between regions"),
+
 	READY("gauge", "1 if this router accepts requests, 0 if not");
 
 	private final String type;
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
@@ -384,6 +384,9 @@
 			.put("peakPieces", this.peakPieces)
 			.put("sequences", this.sequences.size())
 			.put("exportedBytes", this.exportedBytes)
+			.put("prefillTokensPerSecond", this.capacity.prefillTokensPerSecond())
+			.put("kvBytesPerToken", this.capacity.kvBytesPerToken())
+			.put("linkBytesPerSecond", this.capacity.linkBytesPerSecond())
 			.put("prefillTokens", this.prefills.computedTokens())
 			.put("wastedPrefillTokens", this.wastedPrefillTokens)
 			.put("prefillQueueMillis", this.prefills.backlogNanos() / 1_000_000);
