--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -26,6 +26,7 @@
 import io.balsamlane.router.metrics.MeteredGrantService;
 import io.balsamlane.router.metrics.MeteredIntentService;
 import io.balsamlane.router.metrics.MeteredPlatformStore;
+import io.balsamlane.router.metrics.RequestTracker;
 import io.balsamlane.router.metrics.RouterMetrics;
 import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
@@ -73,6 +74,8 @@
 
 	private final CallerServer callers;
 
+	private final OperatorParts operatorParts;
+
 	private final AdminServer admin;
 
 	private final RouterMetrics metrics = RouterMetrics.create();
@@ -103,14 +106,15 @@
 		this.callers = CallerServer.create(this.modelPath, this.state,
 				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics),
 				this.peers.members().self().incarnation());
-		this.admin = AdminServer.create(vertx, settings,
-				new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
-						EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress,
-						this::drain, this.peers::table));
+		this.operatorParts = new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
+				EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress, this::drain,
+				this.peers::table);
+		this.admin = AdminServer.create(vertx, settings, this.operatorParts);
 		this.metrics.members(() -> this.peers.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
 		this.scheduling.registerMetrics(this.metrics);
+		this.timeline.setListener(RequestTracker.create(this.metrics));
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
@@ -137,6 +141,14 @@
 		return this.hosts.servers().stream().filter((server) -> server.kind() == BackendServer.Kind.ENGINE).toList();
 	}
 
+	/**
+	 * Returns what operators can ask.
+	 * @return the parts
+	 */
+	public OperatorParts operatorParts() {
+		return this.operatorParts;
+	}
+
 	/**
 	 * Starts all parts.
 	 * @return the ports, once requests are accepted
