Recovery counts whole windows only; policies come from the settings

Cause: in a trial of the recovery experiment, windows after the last arrival counted as fully served, so a run that had served 1% before the kill was reported as recovered after 8.3 s. The list of policies was written down twice. Change: only whole windows up to the last arrival count, an empty window counts as not served, and a run that served less than half before the kill is reported as invalid; the policies are read from the setting's allowed values; bin/measure decision is registered.

--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/Deployment.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/Deployment.java
@@ -9,6 +9,7 @@
 import java.util.stream.Stream;
 
 import io.balsamlane.schema.SchedulingSettings;
+import io.balsamlane.schema.SettingsOuterClass;
 import io.balsamlane.standin.fleet.Fleet;
 import io.balsamlane.standin.fleet.RouterProcess;
 import io.vertx.core.json.JsonObject;
@@ -20,9 +21,6 @@
 
 	private static final int SERVICE_REPLICAS = 3;
 
-	private static final List<String> POLICIES = List.of("scheduler", "two_choices", "least_outstanding", "round_robin",
-			"random");
-
 	private final DeploymentPlan plan;
 
 	private final Fleet fleet;
@@ -71,14 +69,14 @@
 
 	/**
 	 * Returns the policies that the daemon of this build knows.
-	 * @return the names; only the first version's policy if the daemon has no choice
+	 * @return the names, the daemon's own scheduler first
 	 */
 	static List<String> policies() {
-		return hasPolicySetting() ? POLICIES : List.of("two_choices");
-	}
-
-	private static boolean hasPolicySetting() {
-		return SchedulingSettings.getDescriptor().findFieldByName("policy") != null;
+		return List.copyOf(SchedulingSettings.getDescriptor()
+			.findFieldByName("policy")
+			.getOptions()
+			.getExtension(SettingsOuterClass.setting)
+			.getAllowedList());
 	}
 
 	/**
@@ -86,7 +84,7 @@
 	 * @param policy the scheduling policy
 	 */
 	void startRouters(String policy) {
-		Map<String, String> overrides = hasPolicySetting() ? Map.of("scheduling.policy", policy) : Map.of();
+		Map<String, String> overrides = Map.of("scheduling.policy", policy);
 		inParallel(this.plan.routers()
 			.entrySet()
 			.stream()
--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -28,6 +28,7 @@
 		registry.add("swing", SwingExperiment::create);
 		registry.add("stragglers", StragglersExperiment::create);
 		registry.add("recovery", RecoveryExperiment::create);
+		registry.add("decision", (options) -> DecisionExperiment.create(options.seed(), options.out())::run);
 		return registry;
 	}
 
--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/RecoveryExperiment.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/RecoveryExperiment.java
@@ -41,6 +41,9 @@
 
 	private static final double WITHIN = 0.95;
 
+	/** With a smaller good share before the kill a run says nothing about recovery. */
+	private static final double LOWEST_BASELINE = 0.5;
+
 	private final ResultTable table;
 
 	private RecoveryExperiment(MeasureOptions options) {
@@ -97,21 +100,31 @@
 			.goodShare(Targets.ofDesign());
 		List<Double> seconds = new ArrayList<>();
 		List<Double> shares = new ArrayList<>();
-		for (long from = 0; from + WINDOW_NANOS <= after * 1_000_000_000L; from += STEP_NANOS) {
+		// Only whole windows: after the last arrival there is no goodput to recover.
+		for (long from = 0; killNanos + from + WINDOW_NANOS <= report.lastSendNanos(); from += STEP_NANOS) {
 			seconds.add(from / 1e9);
 			shares.add(share(report, killNanos + from));
 		}
-		int lastLow = IntStream.range(0, shares.size()).filter((i) -> shares.get(i) < WITHIN * before).max().orElse(-1);
-		boolean recovered = lastLow < shares.size() - 1;
 		String name = scheduler ? "scheduler" : "router";
 		this.table.row(plan.name(), policy, name + " " + victim, before,
 				shares.stream().mapToDouble(Double::doubleValue).min().orElse(0),
-				recovered ? (lastLow + 1) * STEP_NANOS / 1e9 : "not within " + after,
+				recovery(before, shares, after),
 				report.results().stream().filter((result) -> !result.errorKind().isEmpty()).count(),
 				report.errorKinds());
 		addSeries(plan.name() + " " + name, seconds, shares);
 	}
 
+	private static Object recovery(double before, List<Double> shares, int seconds) {
+		if (before < LOWEST_BASELINE) {
+			return "invalid: too little was served before the kill";
+		}
+		int lastLow = IntStream.range(0, shares.size())
+			.filter((i) -> shares.get(i) < WITHIN * before)
+			.max()
+			.orElse(-1);
+		return (lastLow < shares.size() - 1) ? (lastLow + 1) * STEP_NANOS / 1e9 : "not within " + seconds + " s";
+	}
+
 	private static double share(LoadReport report, long fromNanos) {
 		return report
 			.only((result) -> result.call().dueNanos() >= fromNanos
--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/load/LoadReport.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/load/LoadReport.java
@@ -57,10 +57,10 @@
 	/**
 	 * Returns the share of the requests that were answered within both targets.
 	 * @param targets the targets
-	 * @return the share, 1 without requests
+	 * @return the share, 0 without requests
 	 */
 	public double goodShare(CallResult.Targets targets) {
-		return this.results.isEmpty() ? 1 : (double) good(targets) / this.results.size();
+		return (double) good(targets) / Math.max(1, this.results.size());
 	}
 
 	/**
