--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/RecoveryExperiment.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/RecoveryExperiment.java
@@ -107,8 +107,7 @@
 		}
 		String name = scheduler ? "scheduler" : "router";
 		this.table.row(plan.name(), policy, name + " " + victim, before,
-				shares.stream().mapToDouble(Double::doubleValue).min().orElse(0),
-				recovery(before, shares, after),
+				shares.stream().mapToDouble(Double::doubleValue).min().orElse(0), recovery(before, shares, after),
 				report.results().stream().filter((result) -> !result.errorKind().isEmpty()).count(),
 				report.errorKinds());
 		addSeries(plan.name() + " " + name, seconds, shares);
@@ -118,10 +117,7 @@
 		if (before < LOWEST_BASELINE) {
 			return "invalid: too little was served before the kill";
 		}
-		int lastLow = IntStream.range(0, shares.size())
-			.filter((i) -> shares.get(i) < WITHIN * before)
-			.max()
-			.orElse(-1);
+		int lastLow = IntStream.range(0, shares.size()).filter((i) -> shares.get(i) < WITHIN * before).max().orElse(-1);
 		return (lastLow < shares.size() - 1) ? (lastLow + 1) * STEP_NANOS / 1e9 : "not within " + seconds + " s";
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -2,21 +2,31 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.List;
 
+import io.balsamlane.core.model.BackendServer;
 import io.balsamlane.core.model.HostList;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
 import io.balsamlane.router.admin.OperatorParts;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
+import io.balsamlane.router.decision.GrantService;
 import io.balsamlane.router.decision.ModelScheduling;
 import io.balsamlane.router.edge.CallerServer;
+import io.balsamlane.router.edge.ModelPath;
+import io.balsamlane.router.engine.CarriedAttempts;
+import io.balsamlane.router.engine.EngineAuditor;
+import io.balsamlane.router.engine.EngineCanceller;
+import io.balsamlane.router.engine.EngineClient;
+import io.balsamlane.router.engine.EngineHealth;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
 import io.balsamlane.router.log.LogContext;
 import io.balsamlane.router.metrics.MeteredGrantService;
 import io.balsamlane.router.metrics.MeteredIntentService;
 import io.balsamlane.router.metrics.MeteredPlatformStore;
+import io.balsamlane.router.metrics.RequestTracker;
 import io.balsamlane.router.metrics.RouterMetrics;
 import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
@@ -27,6 +37,7 @@
 import io.balsamlane.schema.Configuration;
 import io.balsamlane.schema.EventKind;
 import io.balsamlane.schema.Settings;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -41,8 +52,6 @@
 
 	private static final int DRAIN_CHECK_MILLIS = 20;
 
-	private static final long PREFILL_TIMEOUT_MILLIS = 30_000;
-
 	private final Vertx vertx;
 
 	private final Settings settings;
@@ -55,12 +64,18 @@
 
 	private final HostListReader hostReader;
 
+	private final ModelPath modelPath;
+
+	private final EngineAuditor auditor;
+
 	private final NettyPeerNetwork peers;
 
 	private final ModelScheduling scheduling;
 
 	private final CallerServer callers;
 
+	private final OperatorParts operatorParts;
+
 	private final AdminServer admin;
 
 	private final RouterMetrics metrics = RouterMetrics.create();
@@ -85,18 +100,21 @@
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
 		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
 		this.scheduling = ModelScheduling.create(vertx, this.peers, settings);
-		this.callers = CallerServer.create(vertx, settings, this.state,
-				MeteredGrantService.of(this.scheduling.grants(), this.metrics),
-				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS),
-				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics), this.timeline);
-		this.admin = AdminServer.create(vertx, settings,
-				new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
-						EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress,
-						this::drain, this.peers::table));
+		this.modelPath = modelPath(MeteredGrantService.of(this.scheduling.grants(), this.metrics));
+		this.auditor = EngineAuditor.create(this.modelPath.context(), this.peers, this.modelPath.engines(),
+				this.modelPath.canceller(), this.timeline, this::engines, settings.getEngines().getAuditMillis());
+		this.callers = CallerServer.create(this.modelPath, this.state,
+				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics),
+				this.peers.members().self().incarnation());
+		this.operatorParts = new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
+				EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress, this::drain,
+				this.peers::table);
+		this.admin = AdminServer.create(vertx, settings, this.operatorParts);
 		this.metrics.members(() -> this.peers.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
 		this.scheduling.registerMetrics(this.metrics);
+		this.timeline.setListener(RequestTracker.create(this.metrics));
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
@@ -110,6 +128,27 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
+	private ModelPath modelPath(GrantService grants) {
+		Context context = this.vertx.getOrCreateContext();
+		EngineClient engines = HttpEngineClient.create(this.vertx, this.settings.getEngines());
+		return new ModelPath(context, this.settings, grants, engines,
+				EngineHealth.create(context, engines, this.peers, this.timeline, this.settings.getEngines()),
+				EngineCanceller.create(this.vertx, engines, this.settings.getEngines()),
+				CarriedAttempts.create(this.peers), this.timeline);
+	}
+
+	private List<BackendServer> engines() {
+		return this.hosts.servers().stream().filter((server) -> server.kind() == BackendServer.Kind.ENGINE).toList();
+	}
+
+	/**
+	 * Returns what operators can ask.
+	 * @return the parts
+	 */
+	public OperatorParts operatorParts() {
+		return this.operatorParts;
+	}
+
 	/**
 	 * Starts all parts.
 	 * @return the ports, once requests are accepted
@@ -119,6 +158,7 @@
 		this.scheduling.start();
 		this.configuration.start();
 		this.hostReader.start();
+		this.auditor.start();
 		return this.callers.start()
 			.compose((callerPort) -> this.admin.start()
 				.compose((adminPort) -> this.peers.start(adminPort)
@@ -160,12 +200,14 @@
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
 		long deadlineNanos = System.nanoTime() + (noticeMillis + this.settings.getEdge().getDrainMillis()) * 1_000_000L;
 		this.vertx.setTimer(noticeMillis, (id) -> {
+			this.callers.refuseNew();
 			this.peers.leave();
 			awaitDrained(deadlineNanos, idle);
 		});
 		return idle.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
+			this.auditor.stop();
 			this.scheduling.stop();
 			return this.callers.stop();
 		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
@@ -192,6 +234,7 @@
 
 	private synchronized void hostsChanged(HostList next) {
 		this.hosts = next;
+		this.modelPath.health().hostsChanged(next);
 		this.peers.seed(next.routers());
 		this.state.setRoutes(routes(this.configuration.applied()));
 		this.scheduling.setTopology(this.configuration.applied(), next);
