--- a/balsamlane-router/src/main/java/io/balsamlane/router/settings/SettingsLoader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/settings/SettingsLoader.java
@@ -94,11 +94,13 @@
 
 	private void rejectUnknownSections() {
 		List<String> known = Settings.getDescriptor().getFields().stream().map(FieldDescriptor::getName).toList();
-		this.lines.sections()
-			.filter((section) -> !known.contains(section.text()))
-			.forEach((section) -> this.errors
-				.add(new SettingsError(this.file, section.number(), "[" + section.text() + "]", "",
-						"is not a section; use one of " + String.join(", ", known) + ", see docs/settings.md")));
+		this.lines.sections().filter((section) -> !known.contains(section.text())).forEach((section) -> {
+			String remedy = closest(known, section.text())
+				.map((near) -> "did you mean [" + near + "]? Otherwise remove it")
+				.orElse("remove it");
+			this.errors.add(new SettingsError(this.file, section.number(), "[" + section.text() + "]", "",
+					"is not a section; " + remedy + ", see docs/settings.md"));
+		});
 	}
 
 	private void rejectUnknownKeys(FieldDescriptor section) {
