Configuration tracker with watchers, peer pulls and deltas; submit that survives late writes

Cause: every router kept a watch on the store and read the whole document, and a second attempt that could not read the store reported "not stored" although the first write could still take effect.

Change: a pure ConfigurationTracker decides from where a node learns a revision: two watchers per place (rendezvous hash), notices inside the place and from the accepting node to all watchers, pulls of the missing changes with a digest, jittered first and seldom store reads, backoff. Only higher revisions whose history contains the applied change are applied. A node without contact for 4 s, or after a pause until a new call is answered, refuses new work as not run. The keeper runs the tracker on one event loop and parses and compiles on worker threads. ChangeSubmitter reports an outcome as undecided while a write may be in flight, and refuses changes on top of an older document; POST /admin/v1/restore writes the configuration in force back. GET /admin/v1/in-force asks all members and the routers of the host list.

No measurement on processes yet.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ConfigurationEditor.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ConfigurationEditor.java
@@ -24,6 +24,9 @@
 	/** Changes kept in the document for history and rollback. */
 	public static final int MAX_CHANGES = 50;
 
+	/** Largest document in bytes; the platform store takes no larger value. */
+	public static final int MAX_DOCUMENT_BYTES = 1 << 20;
+
 	private ConfigurationEditor() {
 	}
 
@@ -45,20 +48,28 @@
 		long revision = current.getRevision() + 1;
 		Configuration.Builder next = current.toBuilder().setRevision(revision);
 		List<ObjectChange> previous = new ArrayList<>();
+		Optional<String> changeProblem = ConfigurationRules.changeProblem(change);
+		if (changeProblem.isPresent()) {
+			return new Invalid(changeProblem.get());
+		}
 		for (ObjectChange object : change.getObjectsList()) {
 			Optional<ObjectChange> before = find(current, object);
 			long actualRevision = before.map(ObjectChange::getExpectedRevision).orElse(0L);
 			if (actualRevision != object.getExpectedRevision()) {
 				return new Conflict(describe(object), object.getExpectedRevision(), actualRevision);
 			}
-			Optional<String> problem = ConfigurationRules.problem(object);
-			if (problem.isPresent()) {
-				return new Invalid(problem.get());
+			Optional<String> objectProblem = ConfigurationRules.problem(object);
+			if (objectProblem.isPresent()) {
+				return new Invalid(objectProblem.get());
 			}
 			previous.add(before
 				.orElse(ObjectChange.newBuilder().setKind(object.getKind()).setName(object.getName()).build()));
 			replace(next, object, revision);
 		}
+		Optional<String> problem = ConfigurationRules.documentProblem(next);
+		if (problem.isPresent()) {
+			return new Invalid(problem.get());
+		}
 		List<Change> changes = new ArrayList<>(current.getChangesList());
 		changes.add(change.toBuilder()
 			.setRevision(revision)
@@ -66,8 +77,113 @@
 			.clearPrevious()
 			.addAllPrevious(previous)
 			.build());
-		next.clearChanges().addAllChanges(changes.subList(Math.max(0, changes.size() - MAX_CHANGES), changes.size()));
-		return new Edited(next.build());
+		return fit(next, changes);
+	}
+
+	// Keeps as much history as the bounds allow; the newest change is always kept.
+	private static EditResult fit(Configuration.Builder next, List<Change> changes) {
+		int first = Math.max(0, changes.size() - MAX_CHANGES);
+		Configuration document = next.clearChanges().addAllChanges(changes.subList(first, changes.size())).build();
+		while (document.getSerializedSize() > MAX_DOCUMENT_BYTES && first < changes.size() - 1) {
+			first++;
+			document = next.clearChanges().addAllChanges(changes.subList(first, changes.size())).build();
+		}
+		if (document.getSerializedSize() > MAX_DOCUMENT_BYTES) {
+			return new Invalid("The configuration would have " + document.getSerializedSize() + " bytes, more than "
+					+ MAX_DOCUMENT_BYTES + "; remove objects that are no longer used");
+		}
+		return new Edited(document);
+	}
+
+	/**
+	 * Applies changes that were accepted already.
+	 * @param base the configuration before the changes
+	 * @param accepted the changes, in the order of their revisions
+	 * @param oldestChange revision of the oldest change to keep in the history
+	 * @return the configuration after the last change
+	 */
+	static Configuration replay(Configuration base, List<Change> accepted, long oldestChange) {
+		Configuration.Builder next = base.toBuilder();
+		List<Change> history = new ArrayList<>(base.getChangesList());
+		for (Change change : accepted) {
+			change.getObjectsList().forEach((object) -> replace(next, object, change.getRevision()));
+			next.setRevision(change.getRevision());
+			history.add(change);
+		}
+		return next.clearChanges()
+			.addAllChanges(history.stream().filter((change) -> change.getRevision() >= oldestChange).toList())
+			.build();
+	}
+
+	/**
+	 * Tells whether a configuration contains the newest change of an earlier one.
+	 * @param next the later configuration
+	 * @param earlier the earlier configuration
+	 * @return false if the change is missing although the history reaches back to it
+	 */
+	static boolean continues(Configuration next, Configuration earlier) {
+		if (earlier.getChangesCount() == 0 || next.getChangesCount() == 0) {
+			return true;
+		}
+		Change newest = earlier.getChanges(earlier.getChangesCount() - 1);
+		if (next.getChanges(0).getRevision() > newest.getRevision()) {
+			return true;
+		}
+		return next.getChangesList()
+			.stream()
+			.anyMatch((change) -> change.getRevision() == newest.getRevision()
+					&& change.getChangeId().equals(newest.getChangeId()));
+	}
+
+	/**
+	 * Creates the document that brings a store with an older document, or none, back to
+	 * the configuration in force.
+	 * @param applied the configuration in force
+	 * @param change id and author of the restore; it changes no object
+	 * @param storedRevision revision that the store holds, 0 if none
+	 * @param epochMillis wall-clock time for the history, in milliseconds since 1970
+	 * @return the document, with a revision above both
+	 */
+	public static Configuration restore(Configuration applied, Change change, long storedRevision, long epochMillis) {
+		long revision = Math.max(applied.getRevision(), storedRevision) + 1;
+		List<Change> changes = new ArrayList<>(applied.getChangesList());
+		changes
+			.add(change.toBuilder().clearObjects().setRevision(revision).setAcceptedEpochMillis(epochMillis).build());
+		int first = Math.max(0, changes.size() - MAX_CHANGES);
+		return applied.toBuilder()
+			.setRevision(revision)
+			.clearChanges()
+			.addAllChanges(changes.subList(first, changes.size()))
+			.build();
+	}
+
+	/**
+	 * Creates the inverse of an accepted change. It is submitted like any other change
+	 * and conflicts if one of its objects was changed since.
+	 * @param current the configuration in force
+	 * @param revision revision of the change to undo
+	 * @param changeId id of the new change
+	 * @param author author of the new change
+	 * @return the new change, empty if the history does not reach back to the revision
+	 */
+	public static Optional<Change> rollback(Configuration current, long revision, String changeId, String author) {
+		return current.getChangesList()
+			.stream()
+			.filter((change) -> change.getRevision() == revision)
+			.findFirst()
+			.map((change) -> {
+				Change.Builder inverse = Change.newBuilder().setChangeId(changeId).setAuthor(author);
+				for (int index = 0; index < change.getObjectsCount(); index++) {
+					// A deleted object is expected to be still absent (0), any other to
+					// be
+					// as this change left it.
+					boolean deleted = change.getObjects(index)
+						.getObjectCase() == ObjectChange.ObjectCase.OBJECT_NOT_SET;
+					inverse
+						.addObjects(change.getPrevious(index).toBuilder().setExpectedRevision(deleted ? 0 : revision));
+				}
+				return inverse.build();
+			});
 	}
 
 	private static String describe(ObjectChange object) {
--- a/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ConfigurationRules.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ConfigurationRules.java
@@ -1,11 +1,17 @@
 package io.balsamlane.core.configuration;
 
+import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.regex.Pattern;
 
+import io.balsamlane.schema.Change;
+import io.balsamlane.schema.ConfigurationOrBuilder;
 import io.balsamlane.schema.EngineRole;
 import io.balsamlane.schema.ObjectChange;
 import io.balsamlane.schema.ObjectKind;
+import io.balsamlane.schema.PlainService;
 
 /**
  * Rules that each object of the configuration has to meet.
@@ -14,6 +20,10 @@
 
 	private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
 
+	private static final Pattern CALL = Pattern.compile("[A-Z]+( /\\S*)?");
+
+	private static final Pattern TOKEN_HASH = Pattern.compile("[0-9a-f]{64}");
+
 	private ConfigurationRules() {
 	}
 
@@ -30,13 +40,90 @@
 			return Optional.of("The name \"" + object.getName()
 					+ "\" is not valid; use up to 63 lower-case letters, digits, dots, dashes and underscores");
 		}
-		if (object.hasPool()) {
-			return poolProblem(object);
+		return switch (object.getObjectCase()) {
+			case POOL -> matching(object, ObjectKind.POOL).or(() -> poolProblem(object));
+			case SERVICE -> matching(object, ObjectKind.SERVICE).or(() -> serviceProblem(object));
+			case SELECTOR -> matching(object, ObjectKind.SELECTOR).or(() -> selectorProblem(object));
+			case CALLER -> matching(object, ObjectKind.CALLER).or(() -> callerProblem(object));
+			default -> Optional.empty();
+		};
+	}
+
+	/**
+	 * Finds a rule that a change breaks as a whole.
+	 * @param change the change
+	 * @return what is wrong and how to correct it, empty if nothing is
+	 */
+	static Optional<String> changeProblem(Change change) {
+		if (change.getChangeId().isEmpty()) {
+			return Optional.of("The change has no change_id; choose a new random one for each change");
 		}
-		if (object.hasSelector()) {
-			return selectorProblem(object);
+		if (change.getObjectsCount() == 0) {
+			return Optional.of("The change names no object; add at least one");
 		}
-		return Optional.empty();
+		Set<String> names = new HashSet<>();
+		return change.getObjectsList()
+			.stream()
+			.map((object) -> object.getKind().name().toLowerCase(Locale.ROOT) + " " + object.getName())
+			.filter((name) -> !names.add(name))
+			.findFirst()
+			.map((name) -> "The change names " + name + " twice; keep one of them");
+	}
+
+	/**
+	 * Finds a rule that concerns several objects.
+	 * @param next the configuration after the change
+	 * @return what is wrong and how to correct it, empty if nothing is
+	 */
+	static Optional<String> documentProblem(ConfigurationOrBuilder next) {
+		Set<String> groups = new HashSet<>();
+		next.getPoolsList().forEach((pool) -> groups.add(pool.getName()));
+		Optional<String> shared = next.getServicesList()
+			.stream()
+			.map(PlainService::getName)
+			.filter(groups::contains)
+			.findFirst()
+			.map((name) -> "A pool and a service have the name " + name
+					+ "; rename one, because the host list tells them apart by name");
+		Set<String> hashes = new HashSet<>();
+		return shared.or(() -> next.getCallersList()
+			.stream()
+			.filter((caller) -> !caller.getTokenSha256().isEmpty() && !hashes.add(caller.getTokenSha256()))
+			.findFirst()
+			.map((caller) -> "Caller " + caller.getName() + " has the token of another caller; issue a new token"));
+	}
+
+	private static Optional<String> matching(ObjectChange object, ObjectKind kind) {
+		return (object.getKind() == kind) ? Optional.empty()
+				: Optional.of("The change of " + object.getName() + " says kind " + object.getKind()
+						+ " but contains a " + kind.name().toLowerCase(Locale.ROOT) + "; make both agree");
+	}
+
+	private static Optional<String> serviceProblem(ObjectChange object) {
+		PlainService service = object.getService();
+		for (String call : service.getRepeatableList()) {
+			if (!CALL.matcher(call).matches()) {
+				return Optional.of("Service " + object.getName() + ": \"" + call
+						+ "\" is not a call; use a method and optionally a path, such as GET /status");
+			}
+		}
+		return service.getHedgedList()
+			.stream()
+			.filter((call) -> !repeatable(service, call))
+			.findFirst()
+			.map((call) -> "Service " + object.getName() + ": hedged call \"" + call
+					+ "\" is not repeatable; add it to repeatable or remove it from hedged");
+	}
+
+	private static boolean repeatable(PlainService service, String call) {
+		return service.getRepeatableList().contains(call)
+				|| service.getRepeatableList().contains(call.split(" ", 2)[0]);
+	}
+
+	private static Optional<String> callerProblem(ObjectChange object) {
+		String hash = object.getCaller().getTokenSha256();
+		return (hash.isEmpty() || TOKEN_HASH.matcher(hash).matches()) ? Optional.empty() : Optional.of("Caller "
+				+ object.getName() + ": token_sha256 must be the token's SHA-256 as 64 lower-case hexadecimal digits");
 	}
 
 	private static Optional<String> poolProblem(ObjectChange object) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -2,11 +2,17 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.List;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.balsamlane.core.configuration.TrackerTimes;
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
+import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
+import io.balsamlane.core.model.RouterHost;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
@@ -15,6 +21,8 @@
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
+import io.balsamlane.router.peer.PeerNetwork;
+import io.balsamlane.router.peer.StandalonePeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
 import io.balsamlane.router.store.PlatformStore;
@@ -54,7 +62,7 @@
 
 	private final AdminServer admin;
 
-	private HostList hosts = HostList.empty();
+	private volatile HostList hosts = HostList.empty();
 
 	private RouterDaemon(Vertx vertx, Settings settings) {
 		this.vertx = vertx;
@@ -63,8 +71,10 @@
 		this.timeline = Timeline.create(host, settings.getTimeline().getCapacityEvents(), System::currentTimeMillis);
 		this.state = RouterState.create(routes(Configuration.getDefaultInstance()));
 		PlatformStore store = HttpPlatformStore.create(vertx, settings.getStore());
-		this.configuration = ConfigurationKeeper.create(vertx, store, settings.getStore().getRetryPauseMillis(),
+		this.configuration = ConfigurationKeeper.create(vertx, store, network(settings), TrackerTimes.standard(),
 				this::applied);
+		this.configuration.listedRouters(this::otherRouters);
+		this.state.setIsolated(this.configuration::isolated);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
 		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
 				settings.getScheduling().getPieceTokens());
@@ -84,6 +94,20 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
+	private static PeerNetwork network(Settings settings) {
+		return StandalonePeerNetwork.create(new Member(HostName.of(settings.getNode().getHost()), 1,
+				Place.of(settings.getNode().getPlace()), Endpoint.of(settings.getNode().getAddress(), 1)));
+	}
+
+	private List<HostName> otherRouters() {
+		return this.hosts.routers()
+			.stream()
+			.filter((router) -> !router.leaving())
+			.map(RouterHost::name)
+			.filter((host) -> !host.value().equals(this.settings.getNode().getHost()))
+			.toList();
+	}
+
 	private MetricRegistry metrics() {
 		MetricRegistry registry = new MetricRegistry();
 		registry.register("configuration_revision", (Gauge<Long>) () -> this.state.routes().revision());
@@ -141,6 +165,7 @@
 
 	private synchronized void hostsChanged(HostList next) {
 		this.hosts = next;
+		this.configuration.expectPeers(!otherRouters().isEmpty());
 		this.state.setRoutes(routes(this.configuration.applied()));
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterState.java
@@ -1,5 +1,7 @@
 package io.balsamlane.router;
 
+import java.util.function.BooleanSupplier;
+
 import io.balsamlane.core.routing.RouteTable;
 
 /**
@@ -12,6 +14,8 @@
 
 	private volatile boolean draining;
 
+	private volatile BooleanSupplier isolated = () -> false;
+
 	private RouterState(RouteTable routes) {
 		this.routes = routes;
 	}
@@ -49,12 +53,26 @@
 		this.draining = true;
 	}
 
+	/**
+	 * Tells whether this node may be cut off from all others, so that it must refuse new
+	 * work as not run.
+	 * @return true if it may be
+	 */
+	public boolean isolated() {
+		return this.isolated.getAsBoolean();
+	}
+
+	void setIsolated(BooleanSupplier isolated) {
+		this.isolated = isolated;
+	}
+
 	/**
 	 * Tells whether this node can serve requests.
-	 * @return true once a configuration is in force and the process is not shutting down
+	 * @return true once a configuration is in force, the process is not shutting down and
+	 * the node is not isolated
 	 */
 	public boolean ready() {
-		return this.routes.revision() > 0 && !this.draining;
+		return this.routes.revision() > 0 && !this.draining && !isolated();
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
@@ -1,5 +1,9 @@
 package io.balsamlane.router.admin;
 
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.Message;
@@ -98,7 +102,9 @@
 				response.putHeader("content-type", "text/plain; version=0.0.4").end(MetricsText.format(this.metrics));
 			case API_PREFIX + "configuration" -> sendMessage(response, this.configuration.applied());
 			case API_PREFIX + "status" -> sendJson(response, 200, status());
-			case API_PREFIX + "changes" -> change(request);
+			case API_PREFIX + "changes" -> submit(request, this.configuration::submit);
+			case API_PREFIX + "in-force" -> inForce(request);
+			case API_PREFIX + "restore" -> submit(request, this.configuration::restore);
 			case API_PREFIX + "events" -> events(request);
 			default -> sendJson(response, 404, new JsonObject().put("kind", "unknown-path"));
 		}
@@ -108,17 +114,34 @@
 		return new JsonObject().put("host", this.settings.getNode().getHost())
 			.put("place", this.settings.getNode().getPlace())
 			.put("revision", this.state.routes().revision())
-			.put("ready", this.state.ready());
+			.put("ready", this.state.ready())
+			.put("alarms",
+					new JsonObject(this.configuration.status()
+						.alarms()
+						.entrySet()
+						.stream()
+						.collect(Collectors.toMap((alarm) -> alarm.getKey().name(), Map.Entry::getValue))));
+	}
+
+	private void inForce(HttpServerRequest request) {
+		String revision = request.getParam("revision", "");
+		if (!revision.matches("[0-9]{1,18}")) {
+			sendJson(request.response(), 400, new JsonObject().put("kind", "malformed-revision")
+				.put("message", "Name a revision, such as in-force?revision=12"));
+			return;
+		}
+		this.configuration.inForce(Long.parseLong(revision))
+			.onSuccess((answer) -> sendJson(request.response(), 200, answer.toJson()));
 	}
 
-	private void change(HttpServerRequest request) {
+	private void submit(HttpServerRequest request, Function<Change, Future<SubmitResult>> target) {
 		if (request.method() != HttpMethod.POST) {
 			sendJson(request.response(), 405, new JsonObject().put("kind", "use-post"));
 			return;
 		}
 		request.body()
 			.onSuccess((body) -> parse(body, Change.newBuilder())
-				.onSuccess((message) -> this.configuration.submit(((Change.Builder) message).build())
+				.onSuccess((message) -> target.apply(((Change.Builder) message).build())
 					.onSuccess((result) -> sendSubmitResult(request.response(), result)))
 				.onFailure((cause) -> sendJson(request.response(), 400,
 						new JsonObject().put("kind", "malformed-change").put("message", cause.getMessage()))));
@@ -134,7 +157,8 @@
 				.put("message", refused.reason().toString()));
 		}
 		else {
-			String kind = (result instanceof SubmitResult.Undecided) ? "undecided" : "store-unavailable";
+			String kind = (result instanceof SubmitResult.Undecided) ? "undecided"
+					: (result instanceof SubmitResult.StoreRegressed) ? "store-regressed" : "store-unavailable";
 			sendJson(response, 503, new JsonObject().put("kind", kind).put("message", result.toString()));
 		}
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/configuration/SubmitResult.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/configuration/SubmitResult.java
@@ -31,6 +31,15 @@
 	record StoreUnavailable(String message) implements SubmitResult {
 	}
 
+	/**
+	 * The change was not stored, because the store holds an older document than the one
+	 * in force, or a damaged one.
+	 *
+	 * @param message the cause and its remedy
+	 */
+	record StoreRegressed(String message) implements SubmitResult {
+	}
+
 	/**
 	 * The change may be stored; submitting it again with the same id is safe.
 	 *
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
@@ -112,6 +112,11 @@
 	private void handle(HttpServerRequest request) {
 		String requestId = this.requestIdPrefix + this.nextRequest++;
 		request.response().putHeader("X-Request-Id", requestId);
+		if (this.state.isolated()) {
+			Refusal.withRetry(503, "router-isolated", Ran.NO, "this router may lack accepted changes", 1000)
+				.send(request.response());
+			return;
+		}
 		if (this.inProgress.get() >= this.settings.getEdge().getMaxConcurrentRequests()) {
 			Refusal.withRetry(503, "too-many-requests", Ran.NO, "this router is at its limit", 1000)
 				.send(request.response());
