--- a/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ConfigurationRules.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ConfigurationRules.java
@@ -1,7 +1,9 @@
 package io.balsamlane.core.configuration;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -24,6 +26,12 @@
 
 	private static final Pattern TOKEN_HASH = Pattern.compile("[0-9a-f]{64}");
 
+	private static final Pattern LABEL = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._/-]{0,127}");
+
+	/** Keys that the router sets itself; a label of this name would be hidden. */
+	private static final List<String> RESERVED_KEYS = List.of("caller", "model", "name", "place", "region", "role",
+			"service");
+
 	private ConfigurationRules() {
 	}
 
@@ -41,10 +49,13 @@
 					+ "\" is not valid; use up to 63 lower-case letters, digits, dots, dashes and underscores");
 		}
 		return switch (object.getObjectCase()) {
-			case POOL -> matching(object, ObjectKind.POOL).or(() -> poolProblem(object));
-			case SERVICE -> matching(object, ObjectKind.SERVICE).or(() -> serviceProblem(object));
+			case POOL -> matching(object, ObjectKind.POOL).or(() -> poolProblem(object))
+				.or(() -> labelProblem(object, object.getPool().getLabelsMap()));
+			case SERVICE -> matching(object, ObjectKind.SERVICE).or(() -> serviceProblem(object))
+				.or(() -> labelProblem(object, object.getService().getLabelsMap()));
 			case SELECTOR -> matching(object, ObjectKind.SELECTOR).or(() -> selectorProblem(object));
-			case CALLER -> matching(object, ObjectKind.CALLER).or(() -> callerProblem(object));
+			case CALLER -> matching(object, ObjectKind.CALLER).or(() -> callerProblem(object))
+				.or(() -> labelProblem(object, object.getCaller().getLabelsMap()));
 			default -> Optional.empty();
 		};
 	}
@@ -93,6 +104,17 @@
 			.map((caller) -> "Caller " + caller.getName() + " has the token of another caller; issue a new token"));
 	}
 
+	private static Optional<String> labelProblem(ObjectChange object, Map<String, String> labels) {
+		return labels.entrySet()
+			.stream()
+			.filter((label) -> RESERVED_KEYS.contains(label.getKey()) || !LABEL.matcher(label.getKey()).matches()
+					|| !LABEL.matcher(label.getValue()).matches())
+			.findFirst()
+			.map((label) -> "Label " + label.getKey() + " = " + label.getValue() + " of " + object.getName()
+					+ " is not valid; use letters, digits, dots, dashes, underscores and slashes, and none of the keys "
+					+ String.join(", ", RESERVED_KEYS));
+	}
+
 	private static Optional<String> matching(ObjectChange object, ObjectKind kind) {
 		return (object.getKind() == kind) ? Optional.empty()
 				: Optional.of("The change of " + object.getName() + " says kind " + object.getKind()
--- a/balsamlane-core/src/main/java/io/balsamlane/core/configuration/LabelExpression.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/configuration/LabelExpression.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -80,7 +82,12 @@
 	 * @return true if every term holds
 	 */
 	public boolean matches(Map<String, String> labels) {
-		return this.terms.stream().allMatch((term) -> term.matches(labels));
+		for (Term term : this.terms) {
+			if (!term.matches(labels)) {
+				return false;
+			}
+		}
+		return true;
 	}
 
 	/**
@@ -92,6 +99,29 @@
 		return this.terms.stream().filter((term) -> !term.matches(labels)).map(Term::toString).toList();
 	}
 
+	/**
+	 * Returns the part of the expression about some keys.
+	 * @param keys decides which keys are meant
+	 * @return the terms about these keys, joined like in this expression
+	 */
+	public LabelExpression about(Predicate<String> keys) {
+		List<Term> kept = this.terms.stream().filter((term) -> keys.test(term.key())).toList();
+		return new LabelExpression(kept.stream().map(Term::toString).collect(Collectors.joining(", ")), kept);
+	}
+
+	/**
+	 * Returns the values that a label must have one of.
+	 * @param key key of the label
+	 * @return the values of the first term {@code key = value} or {@code key in (...)},
+	 * empty if there is no such term
+	 */
+	public Optional<Set<String>> required(String key) {
+		return this.terms.stream()
+			.filter((term) -> term.key().equals(key) && term.operator() == Operator.IN)
+			.map(Term::values)
+			.findFirst();
+	}
+
 	@Override
 	public String toString() {
 		return this.text;
--- a/balsamlane-core/src/main/java/io/balsamlane/core/routing/RouteTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/routing/RouteTable.java
@@ -1,7 +1,5 @@
 package io.balsamlane.core.routing;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,6 +10,7 @@
 
 import io.balsamlane.core.configuration.LabelExpression;
 import io.balsamlane.core.model.BackendServer;
+import io.balsamlane.core.model.BackendServer.Kind;
 import io.balsamlane.core.model.HostList;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.schema.Caller;
@@ -19,11 +18,14 @@
 import io.balsamlane.schema.EngineRole;
 import io.balsamlane.schema.PlainService;
 import io.balsamlane.schema.Pool;
-import io.balsamlane.schema.Selector;
 
 /**
  * Answers which backend servers a request may reach under one configuration and one host
  * list, as seen from one place.
+ * <p>
+ * Everything that does not depend on the caller is resolved when the table is created. A
+ * request then looks only at the selectors that lead to its target and do not require
+ * another caller.
  */
 public final class RouteTable {
 
@@ -33,29 +35,29 @@
 
 	private final String region;
 
-	private final Map<String, List<BackendServer>> serversByGroup;
-
 	private final Map<String, Caller> callersByTokenHash;
 
-	private final List<CompiledSelector> selectors;
+	private final Map<String, TargetIndex> models = new HashMap<>();
+
+	private final Map<String, TargetIndex> services = new HashMap<>();
 
 	private RouteTable(Configuration configuration, HostList hosts, Place place, String region) {
 		this.configuration = configuration;
 		this.place = place;
 		this.region = region;
-		this.serversByGroup = hosts.servers()
-			.stream()
-			.filter((server) -> !server.leaving())
-			.collect(Collectors.groupingBy(BackendServer::group));
 		this.callersByTokenHash = configuration.getCallersList()
 			.stream()
 			.filter((caller) -> !caller.getTokenSha256().isEmpty())
 			.collect(Collectors.toMap(Caller::getTokenSha256, (caller) -> caller, (first, second) -> first));
-		this.selectors = configuration.getSelectorsList()
+		List<CompiledSelector> selectors = CompiledSelector.all(configuration);
+		ServerIndex servers = new ServerIndex(hosts, place, region);
+		configuration.getPoolsList()
 			.stream()
-			.sorted(Comparator.comparing(Selector::getName))
-			.map(CompiledSelector::of)
-			.toList();
+			.collect(Collectors.groupingBy(Pool::getModel, LinkedHashMap::new, Collectors.toList()))
+			.forEach((model, pools) -> this.models.put(model, modelIndex(model, pools, selectors, servers)));
+		configuration.getServicesList()
+			.forEach((service) -> this.services.putIfAbsent(service.getName(),
+					serviceIndex(service, selectors, servers)));
 	}
 
 	/**
@@ -72,6 +74,58 @@
 		return new RouteTable(configuration, hosts, place, region);
 	}
 
+	private TargetIndex modelIndex(String model, List<Pool> pools, List<CompiledSelector> selectors,
+			ServerIndex servers) {
+		Map<String, String> fixed = Labels.ofTarget(Labels.MODEL, model, this.place.value(), this.region);
+		Map<Pool, Map<String, String>> poolLabels = new LinkedHashMap<>();
+		pools.forEach((pool) -> poolLabels.put(pool, Labels.ofPool(pool)));
+		TargetIndex index = new TargetIndex();
+		for (int order = 0; order < selectors.size(); order++) {
+			CompiledSelector selector = selectors.get(order);
+			if (!selector.requests().about(Labels.FIXED::contains).matches(fixed)) {
+				continue;
+			}
+			List<BackendServer> prefill = engines(poolLabels, EngineRole.PREFILL, selector, servers);
+			List<BackendServer> decode = engines(poolLabels, EngineRole.DECODE, selector, servers);
+			if (!prefill.isEmpty() && !decode.isEmpty()) {
+				index.add(order, callerCondition(selector), new Route.ToEngines(prefill, decode, selector.selector()));
+			}
+		}
+		return index;
+	}
+
+	private static List<BackendServer> engines(Map<Pool, Map<String, String>> pools, EngineRole role,
+			CompiledSelector selector, ServerIndex servers) {
+		List<String> names = pools.entrySet()
+			.stream()
+			.filter((pool) -> pool.getKey().getRole() == role && selector.targets().matches(pool.getValue()))
+			.map((pool) -> pool.getKey().getName())
+			.toList();
+		return servers.reachable(Kind.ENGINE, names, selector);
+	}
+
+	private TargetIndex serviceIndex(PlainService service, List<CompiledSelector> selectors, ServerIndex servers) {
+		Map<String, String> fixed = Labels.ofTarget(Labels.SERVICE, service.getName(), this.place.value(), this.region);
+		Map<String, String> labels = Labels.ofService(service);
+		TargetIndex index = new TargetIndex();
+		for (int order = 0; order < selectors.size(); order++) {
+			CompiledSelector selector = selectors.get(order);
+			if (selector.requests().about(Labels.FIXED::contains).matches(fixed)
+					&& selector.targets().matches(labels)) {
+				List<BackendServer> replicas = servers.reachable(Kind.SERVICE, List.of(service.getName()), selector);
+				if (!replicas.isEmpty()) {
+					index.add(order, callerCondition(selector),
+							new Route.ToService(replicas, service, selector.selector()));
+				}
+			}
+		}
+		return index;
+	}
+
+	private static LabelExpression callerCondition(CompiledSelector selector) {
+		return selector.requests().about((key) -> !Labels.FIXED.contains(key));
+	}
+
 	/**
 	 * Returns the revision of the configuration.
 	 * @return the revision
@@ -104,26 +158,12 @@
 	 * @return the route
 	 */
 	public Route modelRoute(Caller caller, String model) {
-		List<Pool> pools = this.configuration.getPoolsList()
-			.stream()
-			.filter((pool) -> pool.getModel().equals(model))
-			.toList();
-		if (pools.isEmpty()) {
+		TargetIndex index = this.models.get(model);
+		if (index == null) {
 			return new Route.None("unknown-model",
 					"No pool serves model \"" + model + "\"; check the name or create a pool with model = " + model);
 		}
-		Map<String, String> labels = requestLabels(caller, "model", model);
-		for (CompiledSelector selector : this.selectors) {
-			if (!selector.requests().matches(labels)) {
-				continue;
-			}
-			List<BackendServer> prefill = engines(pools, EngineRole.PREFILL, selector);
-			List<BackendServer> decode = engines(pools, EngineRole.DECODE, selector);
-			if (!prefill.isEmpty() && !decode.isEmpty()) {
-				return new Route.ToEngines(prefill, decode, selector.selector());
-			}
-		}
-		return none("model", model);
+		return index.find(caller).orElseGet(() -> none(Labels.MODEL, model));
 	}
 
 	/**
@@ -133,27 +173,12 @@
 	 * @return the route
 	 */
 	public Route serviceRoute(Caller caller, String name) {
-		Optional<PlainService> service = this.configuration.getServicesList()
-			.stream()
-			.filter((candidate) -> candidate.getName().equals(name))
-			.findFirst();
-		if (service.isEmpty()) {
+		TargetIndex index = this.services.get(name);
+		if (index == null) {
 			return new Route.None("unknown-service",
 					"No service has the name \"" + name + "\"; check the name or create the service");
 		}
-		Map<String, String> labels = requestLabels(caller, "service", name);
-		Map<String, String> targetLabels = new HashMap<>(service.get().getLabelsMap());
-		targetLabels.put("service", name);
-		targetLabels.put("name", name);
-		for (CompiledSelector selector : this.selectors) {
-			if (selector.requests().matches(labels) && selector.targets().matches(targetLabels)) {
-				List<BackendServer> replicas = reachable(this.serversByGroup.getOrDefault(name, List.of()), selector);
-				if (!replicas.isEmpty()) {
-					return new Route.ToService(replicas, service.get(), selector.selector());
-				}
-			}
-		}
-		return none("service", name);
+		return index.find(caller).orElseGet(() -> none(Labels.SERVICE, name));
 	}
 
 	private static Route none(String what, String name) {
@@ -161,56 +186,4 @@
 				+ name + "; ask an operator to run: balsamlanectl explain");
 	}
 
-	private Map<String, String> requestLabels(Caller caller, String targetKey, String target) {
-		Map<String, String> labels = new HashMap<>(caller.getLabelsMap());
-		if (!caller.getName().isEmpty()) {
-			labels.put("caller", caller.getName());
-		}
-		labels.put("place", this.place.value());
-		labels.put("region", this.region);
-		labels.put(targetKey, target);
-		return labels;
-	}
-
-	private List<BackendServer> engines(List<Pool> pools, EngineRole role, CompiledSelector selector) {
-		List<BackendServer> candidates = pools.stream()
-			.filter((pool) -> pool.getRole() == role)
-			.filter((pool) -> selector.targets().matches(poolLabels(pool)))
-			.flatMap((pool) -> this.serversByGroup.getOrDefault(pool.getName(), List.of()).stream())
-			.toList();
-		return reachable(candidates, selector);
-	}
-
-	private static Map<String, String> poolLabels(Pool pool) {
-		Map<String, String> labels = new LinkedHashMap<>(pool.getLabelsMap());
-		labels.put("name", pool.getName());
-		labels.put("role", pool.getRole().name().toLowerCase(java.util.Locale.ROOT));
-		labels.put("model", pool.getModel());
-		labels.put("place", pool.getPlace());
-		return labels;
-	}
-
-	private List<BackendServer> reachable(List<BackendServer> candidates, CompiledSelector selector) {
-		List<BackendServer> reachable = new ArrayList<>(candidates.stream()
-			.filter((server) -> selector.allowsPlace(server.place()))
-			.filter((server) -> selector.selector().getCrossRegion() || server.region().equals(this.region))
-			.toList());
-		reachable.sort(Comparator.comparing((BackendServer server) -> !server.place().equals(this.place))
-			.thenComparing((server) -> !server.region().equals(this.region)));
-		return List.copyOf(reachable);
-	}
-
-	private record CompiledSelector(Selector selector, LabelExpression requests, LabelExpression targets) {
-
-		static CompiledSelector of(Selector selector) {
-			return new CompiledSelector(selector, LabelExpression.of(selector.getRequests()),
-					LabelExpression.of(selector.getTargets()));
-		}
-
-		boolean allowsPlace(Place place) {
-			return this.selector.getPlacesCount() == 0 || this.selector.getPlacesList().contains(place.value());
-		}
-
-	}
-
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -64,6 +64,8 @@
 
 	private volatile HostList hosts = HostList.empty();
 
+	private Configuration latest = Configuration.getDefaultInstance();
+
 	private RouterDaemon(Vertx vertx, Settings settings) {
 		this.vertx = vertx;
 		this.settings = settings;
@@ -158,15 +160,24 @@
 	}
 
 	private synchronized void applied(Configuration next) {
+		this.latest = next;
 		this.state.setRoutes(routes(next));
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
 	}
 
-	private synchronized void hostsChanged(HostList next) {
+	private void hostsChanged(HostList next) {
 		this.hosts = next;
 		this.configuration.expectPeers(!otherRouters().isEmpty());
-		this.state.setRoutes(routes(this.configuration.applied()));
+		// A large table takes milliseconds to compile, too long for an event loop.
+		this.vertx.executeBlocking(this::compileAgain)
+			.onFailure((cause) -> logger.log(Level.ERROR, "The host list cannot be brought into force", cause));
+	}
+
+	private synchronized RouteTable compileAgain() {
+		RouteTable next = routes(this.latest);
+		this.state.setRoutes(next);
+		return next;
 	}
 
 	private RouteTable routes(Configuration next) {
