--- a/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ConfigurationTracker.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ConfigurationTracker.java
@@ -256,6 +256,18 @@
 		return actions;
 	}
 
+	/**
+	 * Takes contacts that the membership protocol had, before a timer event.
+	 * @param peerAgeMillis time since a peer was heard
+	 * @param storeAgeMillis time since a peer or its source heard from the store
+	 * @param nowNanos the present time
+	 */
+	public void contacts(long peerAgeMillis, long storeAgeMillis, long nowNanos) {
+		noticePause(nowNanos);
+		this.contact.heardOfPeer(nowNanos, peerAgeMillis);
+		this.contact.heardOfStore(nowNanos, storeAgeMillis);
+	}
+
 	/**
 	 * Takes the outcome of {@link TrackerAction.Pull}.
 	 * @param peer the peer that was asked
--- a/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ContactAges.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/configuration/ContactAges.java
@@ -29,11 +29,17 @@
 		this.freshestStoreNanos = nowNanos;
 	}
 
+	void heardOfPeer(long nowNanos, long ageMillis) {
+		this.lastPeerNanos = later(this.lastPeerNanos, nowNanos, ageMillis);
+	}
+
 	void heardOfStore(long nowNanos, long ageMillis) {
-		long heardNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis);
-		if (heardNanos - this.freshestStoreNanos > 0) {
-			this.freshestStoreNanos = heardNanos;
-		}
+		this.freshestStoreNanos = later(this.freshestStoreNanos, nowNanos, ageMillis);
+	}
+
+	private static long later(long knownNanos, long nowNanos, long ageMillis) {
+		long knownAgeMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - knownNanos);
+		return (ageMillis < knownAgeMillis) ? nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis) : knownNanos;
 	}
 
 	long lastPeerNanos() {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -4,28 +4,30 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 
-import com.codahale.metrics.Gauge;
-import com.codahale.metrics.MetricRegistry;
 import io.balsamlane.core.configuration.TrackerTimes;
-import io.balsamlane.core.membership.Member;
-import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
 import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.model.RouterHost;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
+import io.balsamlane.router.admin.OperatorParts;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
 import io.balsamlane.router.decision.GrantService;
 import io.balsamlane.router.decision.LocalGrantService;
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
-import io.balsamlane.router.peer.PeerNetwork;
-import io.balsamlane.router.peer.StandalonePeerNetwork;
+import io.balsamlane.router.log.LogContext;
+import io.balsamlane.router.metrics.MeteredGrantService;
+import io.balsamlane.router.metrics.MeteredIntentService;
+import io.balsamlane.router.metrics.MeteredPlatformStore;
+import io.balsamlane.router.metrics.RouterMetrics;
+import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
 import io.balsamlane.router.store.PlatformStore;
+import io.balsamlane.router.timeline.EventGatherer;
 import io.balsamlane.router.timeline.Timeline;
 import io.balsamlane.schema.Configuration;
 import io.balsamlane.schema.EventKind;
@@ -58,32 +60,50 @@
 
 	private final HostListReader hostReader;
 
+	private final NettyPeerNetwork peers;
+
 	private final CallerServer callers;
 
 	private final AdminServer admin;
 
+	private final RouterMetrics metrics = RouterMetrics.create();
+
 	private volatile HostList hosts = HostList.empty();
 
 	private Configuration latest = Configuration.getDefaultInstance();
 
+	private volatile Runnable drained = () -> {
+	};
+
+	private Promise<Void> stopped;
+
 	private RouterDaemon(Vertx vertx, Settings settings) {
 		this.vertx = vertx;
 		this.settings = settings;
 		String host = settings.getNode().getHost();
 		this.timeline = Timeline.create(host, settings.getTimeline().getCapacityEvents(), System::currentTimeMillis);
 		this.state = RouterState.create(routes(Configuration.getDefaultInstance()));
-		PlatformStore store = HttpPlatformStore.create(vertx, settings.getStore());
-		this.configuration = ConfigurationKeeper.create(vertx, store, network(settings), TrackerTimes.standard(),
+		PlatformStore store = MeteredPlatformStore.of(HttpPlatformStore.create(vertx, settings.getStore()),
+				this.metrics);
+		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
+		this.configuration = ConfigurationKeeper.create(vertx, store, this.peers, TrackerTimes.standard(),
 				this::applied);
 		this.configuration.listedRouters(this::otherRouters);
 		this.state.setIsolated(this.configuration::isolated);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
 		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
 				settings.getScheduling().getPieceTokens());
-		this.callers = CallerServer.create(vertx, settings, this.state, grants,
-				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS), SingleKeyIntentService.create(store),
-				this.timeline);
-		this.admin = AdminServer.create(vertx, settings, this.state, this.configuration, this.timeline, metrics());
+		this.callers = CallerServer.create(vertx, settings, this.state, MeteredGrantService.of(grants, this.metrics),
+				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS),
+				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics), this.timeline);
+		this.admin = AdminServer.create(vertx, settings,
+				new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
+						EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress,
+						this::drain, this.peers::table));
+		this.metrics.members(() -> this.peers.members().members().size());
+		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
+				() -> this.state.ready() ? 1 : 0);
+		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
 	/**
@@ -96,27 +116,6 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
-	private static PeerNetwork network(Settings settings) {
-		return StandalonePeerNetwork.create(new Member(HostName.of(settings.getNode().getHost()), 1,
-				Place.of(settings.getNode().getPlace()), Endpoint.of(settings.getNode().getAddress(), 1)));
-	}
-
-	private List<HostName> otherRouters() {
-		return this.hosts.routers()
-			.stream()
-			.filter((router) -> !router.leaving())
-			.map(RouterHost::name)
-			.filter((host) -> !host.value().equals(this.settings.getNode().getHost()))
-			.toList();
-	}
-
-	private MetricRegistry metrics() {
-		MetricRegistry registry = new MetricRegistry();
-		registry.register("configuration_revision", (Gauge<Long>) () -> this.state.routes().revision());
-		registry.register("requests_in_progress", (Gauge<Integer>) () -> this.callers.inProgress());
-		return registry;
-	}
-
 	/**
 	 * Starts all parts.
 	 * @return the ports, once requests are accepted
@@ -126,28 +125,54 @@
 		this.configuration.start();
 		this.hostReader.start();
 		return this.callers.start()
-			.compose((callerPort) -> this.admin.start().map((adminPort) -> new Ports(callerPort, adminPort)))
+			.compose((callerPort) -> this.admin.start()
+				.compose((adminPort) -> this.peers.start(adminPort)
+					.map((peerPort) -> new Ports(callerPort, adminPort, peerPort))))
 			.onSuccess((ports) -> logger.log(Level.INFO,
-					"Listening for callers on port {0,number,#}, for operators on {1,number,#}", ports.callers(),
-					ports.admin()));
+					"Listening for callers on port {0,number,#}, for operators on {1,number,#}, for routers on {2,number,#}",
+					ports.callers(), ports.admin(), ports.peer()));
 	}
 
 	/**
 	 * Fails the readiness check, waits for the balancer and for all requests, then stops.
+	 * A further call joins the stop that is under way.
 	 * @return completes when everything has stopped
 	 */
-	public Future<Void> stop() {
+	public synchronized Future<Void> stop() {
+		if (this.stopped == null) {
+			this.stopped = Promise.promise();
+			stopOnce().onComplete(this.stopped);
+		}
+		return this.stopped.future();
+	}
+
+	/**
+	 * Sets what follows an operator's order to drain this router.
+	 * @param action runs once everything has stopped
+	 */
+	public void onDrained(Runnable action) {
+		this.drained = action;
+	}
+
+	private void drain() {
+		stop().onComplete((done) -> this.drained.run());
+	}
+
+	private Future<Void> stopOnce() {
 		this.state.setDraining();
 		this.timeline.record(EventKind.PROCESS_STOPPING, "", 0, this.settings.getNode().getHost(), "");
-		Promise<Void> drained = Promise.promise();
+		Promise<Void> idle = Promise.promise();
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
 		long deadlineNanos = System.nanoTime() + (noticeMillis + this.settings.getEdge().getDrainMillis()) * 1_000_000L;
-		this.vertx.setTimer(noticeMillis, (id) -> awaitDrained(deadlineNanos, drained));
-		return drained.future().compose((done) -> {
+		this.vertx.setTimer(noticeMillis, (id) -> {
+			this.peers.leave();
+			awaitDrained(deadlineNanos, idle);
+		});
+		return idle.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
 			return this.callers.stop();
-		}).compose((done) -> this.admin.stop());
+		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
 	}
 
 	private void awaitDrained(long deadlineNanos, Promise<Void> drained) {
@@ -159,15 +184,28 @@
 		}
 	}
 
+	private List<HostName> otherRouters() {
+		return this.hosts.routers()
+			.stream()
+			.filter((router) -> !router.leaving())
+			.map(RouterHost::name)
+			.filter((host) -> !host.value().equals(this.settings.getNode().getHost()))
+			.toList();
+	}
+
 	private synchronized void applied(Configuration next) {
 		this.latest = next;
 		this.state.setRoutes(routes(next));
+		this.peers.announceRevision(next.getRevision());
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
-		logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
+		try (LogContext context = LogContext.revision(next.getRevision())) {
+			logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
+		}
 	}
 
 	private void hostsChanged(HostList next) {
 		this.hosts = next;
+		this.peers.seed(next.routers());
 		this.configuration.expectPeers(!otherRouters().isEmpty());
 		// A large table takes milliseconds to compile, too long for an event loop.
 		this.vertx.executeBlocking(this::compileAgain)
@@ -190,8 +228,9 @@
 	 *
 	 * @param callers port for callers
 	 * @param admin port for operators
+	 * @param peer port for other routers
 	 */
-	public record Ports(int callers, int admin) {
+	public record Ports(int callers, int admin, int peer) {
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/configuration/ConfigurationKeeper.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/configuration/ConfigurationKeeper.java
@@ -114,6 +114,8 @@
 	 */
 	public void start() {
 		this.running = true;
+		this.network
+			.addRevisionListener((heard) -> announced(heard.from(), heard.revision(), this.network.storeAgeMillis()));
 		this.network.addMemberListener((view) -> track((now) -> this.tracker.membersChanged(view, now)));
 		track(this.tracker::timer);
 		this.context.runOnContext(
@@ -154,7 +156,8 @@
 	}
 
 	/**
-	 * Takes an announcement of a peer; the network calls it for each probe.
+	 * Takes an announcement of a peer. A network that implements
+	 * {@link PeerNetwork#addRevisionListener} needs no other call.
 	 * @param peer the peer
 	 * @param revision revision in force on the peer
 	 * @param storeAgeMillis time since the peer or its source heard from the store
@@ -232,6 +235,11 @@
 		return this.inForceQuery.ask(revision);
 	}
 
+	private List<TrackerAction> tick(long nowNanos) {
+		this.tracker.contacts(this.network.peerAgeMillis(), this.network.storeAgeMillis(), nowNanos);
+		return this.tracker.timer(nowNanos);
+	}
+
 	private void accepted(Configuration configuration) {
 		track((now) -> this.tracker.accepted(configuration, now));
 	}
@@ -254,12 +262,12 @@
 		if (action instanceof TrackerAction.ReadStore) {
 			this.store.get(KEY)
 				.compose(this::parse)
-				.onSuccess((answer) -> track((now) -> this.tracker.storeRead(answer, now)));
+				.onSuccess((answer) -> answered(answer, (now) -> this.tracker.storeRead(answer, now)));
 		}
 		else if (action instanceof TrackerAction.WatchStore watch) {
 			this.store.watch(KEY, watch.afterVersion())
 				.compose(this::parse)
-				.onSuccess((answer) -> track((now) -> this.tracker.watchEnded(answer, now)));
+				.onSuccess((answer) -> answered(answer, (now) -> this.tracker.watchEnded(answer, now)));
 		}
 		else if (action instanceof TrackerAction.Pull pull) {
 			ConfigurationHandlers.pull(this.network, this, pull, this.times.pullTimeoutMillis())
@@ -283,6 +291,13 @@
 		}
 	}
 
+	private void answered(StoreAnswer answer, Function<Long, List<TrackerAction>> event) {
+		if (!(answer instanceof StoreAnswer.Failed)) {
+			this.network.storeContacted();
+		}
+		track(event);
+	}
+
 	private Future<StoreAnswer> parse(StoreRead read) {
 		if (read instanceof StoreRead.Found found) {
 			return this.vertx.executeBlocking(() -> parse(found));
