--- a/balsamlane-core/src/main/java/io/balsamlane/core/routing/CompiledSelector.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/routing/CompiledSelector.java
@@ -15,10 +15,13 @@
  *
  * @param selector the selector
  * @param requests condition over requests
+ * @param targetCondition the part of that condition that target and entry router decide
+ * @param callerCondition the part of that condition that the caller decides
  * @param targets condition over pools and services
  * @param places places that may be used, empty for all
  */
-record CompiledSelector(Selector selector, LabelExpression requests, LabelExpression targets, Set<String> places) {
+record CompiledSelector(Selector selector, LabelExpression requests, LabelExpression targetCondition,
+		LabelExpression callerCondition, LabelExpression targets, Set<String> places) {
 
 	/**
 	 * Compiles the selectors of a configuration in the order in which they are tried.
@@ -36,8 +39,10 @@
 
 	private static Optional<CompiledSelector> of(Selector selector) {
 		try {
-			return Optional.of(new CompiledSelector(selector, LabelExpression.of(selector.getRequests()),
-					LabelExpression.of(selector.getTargets()), Set.copyOf(selector.getPlacesList())));
+			LabelExpression requests = LabelExpression.of(selector.getRequests());
+			return Optional.of(new CompiledSelector(selector, requests, requests.about(Labels.FIXED::contains),
+					requests.about((key) -> !Labels.FIXED.contains(key)), LabelExpression.of(selector.getTargets()),
+					Set.copyOf(selector.getPlacesList())));
 		}
 		catch (IllegalArgumentException ex) {
 			return Optional.empty();
--- a/balsamlane-core/src/main/java/io/balsamlane/core/routing/RouteTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/routing/RouteTable.java
@@ -1,5 +1,6 @@
 package io.balsamlane.core.routing;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -8,7 +9,6 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 
-import io.balsamlane.core.configuration.LabelExpression;
 import io.balsamlane.core.model.BackendServer;
 import io.balsamlane.core.model.BackendServer.Kind;
 import io.balsamlane.core.model.HostList;
@@ -82,13 +82,13 @@
 		TargetIndex index = new TargetIndex();
 		for (int order = 0; order < selectors.size(); order++) {
 			CompiledSelector selector = selectors.get(order);
-			if (!selector.requests().about(Labels.FIXED::contains).matches(fixed)) {
+			if (!selector.targetCondition().matches(fixed)) {
 				continue;
 			}
 			List<BackendServer> prefill = engines(poolLabels, EngineRole.PREFILL, selector, servers);
 			List<BackendServer> decode = engines(poolLabels, EngineRole.DECODE, selector, servers);
 			if (!prefill.isEmpty() && !decode.isEmpty()) {
-				index.add(order, callerCondition(selector), new Route.ToEngines(prefill, decode, selector.selector()));
+				index.add(order, selector.callerCondition(), new Route.ToEngines(prefill, decode, selector.selector()));
 			}
 		}
 		return index;
@@ -96,11 +96,12 @@
 
 	private static List<BackendServer> engines(Map<Pool, Map<String, String>> pools, EngineRole role,
 			CompiledSelector selector, ServerIndex servers) {
-		List<String> names = pools.entrySet()
-			.stream()
-			.filter((pool) -> pool.getKey().getRole() == role && selector.targets().matches(pool.getValue()))
-			.map((pool) -> pool.getKey().getName())
-			.toList();
+		List<String> names = new ArrayList<>();
+		pools.forEach((pool, labels) -> {
+			if (pool.getRole() == role && selector.targets().matches(labels)) {
+				names.add(pool.getName());
+			}
+		});
 		return servers.reachable(Kind.ENGINE, names, selector);
 	}
 
@@ -110,11 +111,11 @@
 		TargetIndex index = new TargetIndex();
 		for (int order = 0; order < selectors.size(); order++) {
 			CompiledSelector selector = selectors.get(order);
-			if (selector.requests().about(Labels.FIXED::contains).matches(fixed)
+			if (selector.targetCondition().matches(fixed)
 					&& selector.targets().matches(labels)) {
 				List<BackendServer> replicas = servers.reachable(Kind.SERVICE, List.of(service.getName()), selector);
 				if (!replicas.isEmpty()) {
-					index.add(order, callerCondition(selector),
+					index.add(order, selector.callerCondition(),
 							new Route.ToService(replicas, service, selector.selector()));
 				}
 			}
@@ -122,10 +123,6 @@
 		return index;
 	}
 
-	private static LabelExpression callerCondition(CompiledSelector selector) {
-		return selector.requests().about((key) -> !Labels.FIXED.contains(key));
-	}
-
 	/**
 	 * Returns the revision of the configuration.
 	 * @return the revision
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -13,8 +13,7 @@
 import io.balsamlane.router.admin.AdminServer;
 import io.balsamlane.router.admin.OperatorParts;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
-import io.balsamlane.router.decision.GrantService;
-import io.balsamlane.router.decision.LocalGrantService;
+import io.balsamlane.router.decision.ModelScheduling;
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
@@ -62,6 +61,8 @@
 
 	private final NettyPeerNetwork peers;
 
+	private final ModelScheduling scheduling;
+
 	private final CallerServer callers;
 
 	private final AdminServer admin;
@@ -91,9 +92,9 @@
 		this.configuration.listedRouters(this::otherRouters);
 		this.state.setIsolated(this.configuration::isolated);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
-		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
-				settings.getScheduling().getPieceTokens());
-		this.callers = CallerServer.create(vertx, settings, this.state, MeteredGrantService.of(grants, this.metrics),
+		this.scheduling = ModelScheduling.create(vertx, this.peers, settings);
+		this.callers = CallerServer.create(vertx, settings, this.state,
+				MeteredGrantService.of(this.scheduling.grants(), this.metrics),
 				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS),
 				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics), this.timeline);
 		this.admin = AdminServer.create(vertx, settings,
@@ -103,6 +104,7 @@
 		this.metrics.members(() -> this.peers.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
+		this.scheduling.registerMetrics(this.metrics);
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
@@ -122,6 +124,7 @@
 	 */
 	public Future<Ports> start() {
 		this.timeline.record(EventKind.PROCESS_STARTED, "", 0, this.settings.getNode().getHost(), "");
+		this.scheduling.start();
 		this.configuration.start();
 		this.hostReader.start();
 		return this.callers.start()
@@ -171,6 +174,7 @@
 		return idle.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
+			this.scheduling.stop();
 			return this.callers.stop();
 		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
 	}
@@ -197,6 +201,7 @@
 		this.latest = next;
 		this.state.setRoutes(routes(next));
 		this.peers.announceRevision(next.getRevision());
+		this.scheduling.setTopology(next, this.hosts);
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		try (LogContext context = LogContext.revision(next.getRevision())) {
 			logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
@@ -215,6 +220,7 @@
 	private synchronized RouteTable compileAgain() {
 		RouteTable next = routes(this.latest);
 		this.state.setRoutes(next);
+		this.scheduling.setTopology(this.latest, this.hosts);
 		return next;
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/metrics/RouterMetrics.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/RouterMetrics.java
@@ -160,6 +160,21 @@
 		gauge(Metric.READY, ready);
 	}
 
+	/**
+	 * Adds the state of the schedulers.
+	 * @param liveGrants reads the grants that they keep account of
+	 * @param waiting reads the requests that wait
+	 * @param fallbacks reads the grants decided without a scheduler
+	 * @param crossRegionBytes reads the bytes sent between regions
+	 */
+	public void scheduling(LongSupplier liveGrants, LongSupplier waiting, LongSupplier fallbacks,
+			LongSupplier crossRegionBytes) {
+		gauge(Metric.SCHEDULER_LIVE_GRANTS, liveGrants);
+		gauge(Metric.SCHEDULER_WAITING_REQUESTS, waiting);
+		gauge(Metric.SCHEDULER_FALLBACKS_TOTAL, fallbacks);
+		gauge(Metric.CROSS_REGION_BYTES_TOTAL, crossRegionBytes);
+	}
+
 	/**
 	 * Formats all metrics in the text form that collectors scrape.
 	 * @return the text
--- a/balsamlane-router/src/main/java/io/balsamlane/router/settings/SettingsLoader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/settings/SettingsLoader.java
@@ -147,7 +147,7 @@
 
 	private Optional<Object> convert(String key, FieldDescriptor field, SettingOptions options, String value) {
 		return switch (field.getJavaType()) {
-			case STRING -> Optional.of(value);
+			case STRING -> allowed(key, options, value);
 			case BOOLEAN -> {
 				if (!value.equals("true") && !value.equals("false")) {
 					error(key, value, "is neither true nor false; use one of them");
@@ -161,6 +161,14 @@
 		};
 	}
 
+	private Optional<Object> allowed(String key, SettingOptions options, String value) {
+		if (options.getAllowedCount() == 0 || options.getAllowedList().contains(value)) {
+			return Optional.of(value);
+		}
+		error(key, value, "is not an allowed value; use " + String.join(", ", options.getAllowedList()));
+		return Optional.empty();
+	}
+
 	private Optional<Long> number(String key, SettingOptions options, String value) {
 		try {
 			long number = Long.parseLong(value);
