--- a/balsamlane-core/src/main/java/io/balsamlane/core/routing/RouteTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/routing/RouteTable.java
@@ -111,8 +111,7 @@
 		TargetIndex index = new TargetIndex();
 		for (int order = 0; order < selectors.size(); order++) {
 			CompiledSelector selector = selectors.get(order);
-			if (selector.targetCondition().matches(fixed)
-					&& selector.targets().matches(labels)) {
+			if (selector.targetCondition().matches(fixed) && selector.targets().matches(labels)) {
 				List<BackendServer> replicas = servers.reachable(Kind.SERVICE, List.of(service.getName()), selector);
 				if (!replicas.isEmpty()) {
 					index.add(order, selector.callerCondition(),
