--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -5,6 +5,7 @@
 import java.util.List;
 
 import io.balsamlane.core.configuration.TrackerTimes;
+import io.balsamlane.core.model.BackendServer;
 import io.balsamlane.core.model.HostList;
 import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
@@ -13,14 +14,22 @@
 import io.balsamlane.router.admin.AdminServer;
 import io.balsamlane.router.admin.OperatorParts;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
+import io.balsamlane.router.decision.GrantService;
 import io.balsamlane.router.decision.ModelScheduling;
 import io.balsamlane.router.edge.CallerServer;
+import io.balsamlane.router.edge.ModelPath;
+import io.balsamlane.router.engine.CarriedAttempts;
+import io.balsamlane.router.engine.EngineAuditor;
+import io.balsamlane.router.engine.EngineCanceller;
+import io.balsamlane.router.engine.EngineClient;
+import io.balsamlane.router.engine.EngineHealth;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
 import io.balsamlane.router.log.LogContext;
 import io.balsamlane.router.metrics.MeteredGrantService;
 import io.balsamlane.router.metrics.MeteredIntentService;
 import io.balsamlane.router.metrics.MeteredPlatformStore;
+import io.balsamlane.router.metrics.RequestTracker;
 import io.balsamlane.router.metrics.RouterMetrics;
 import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
@@ -31,6 +40,7 @@
 import io.balsamlane.schema.Configuration;
 import io.balsamlane.schema.EventKind;
 import io.balsamlane.schema.Settings;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -45,8 +55,6 @@
 
 	private static final int DRAIN_CHECK_MILLIS = 20;
 
-	private static final long PREFILL_TIMEOUT_MILLIS = 30_000;
-
 	private final Vertx vertx;
 
 	private final Settings settings;
@@ -59,12 +67,18 @@
 
 	private final HostListReader hostReader;
 
+	private final ModelPath modelPath;
+
+	private final EngineAuditor auditor;
+
 	private final NettyPeerNetwork peers;
 
 	private final ModelScheduling scheduling;
 
 	private final CallerServer callers;
 
+	private final OperatorParts operatorParts;
+
 	private final AdminServer admin;
 
 	private final RouterMetrics metrics = RouterMetrics.create();
@@ -93,18 +107,21 @@
 		this.state.setIsolated(this.configuration::isolated);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
 		this.scheduling = ModelScheduling.create(vertx, this.peers, settings);
-		this.callers = CallerServer.create(vertx, settings, this.state,
-				MeteredGrantService.of(this.scheduling.grants(), this.metrics),
-				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS),
-				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics), this.timeline);
-		this.admin = AdminServer.create(vertx, settings,
-				new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
-						EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress,
-						this::drain, this.peers::table));
+		this.modelPath = modelPath(MeteredGrantService.of(this.scheduling.grants(), this.metrics));
+		this.auditor = EngineAuditor.create(this.modelPath.context(), this.peers, this.modelPath.engines(),
+				this.modelPath.canceller(), this.timeline, this::engines, settings.getEngines().getAuditMillis());
+		this.callers = CallerServer.create(this.modelPath, this.state,
+				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics),
+				this.peers.members().self().incarnation());
+		this.operatorParts = new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
+				EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress, this::drain,
+				this.peers::table);
+		this.admin = AdminServer.create(vertx, settings, this.operatorParts);
 		this.metrics.members(() -> this.peers.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
 		this.scheduling.registerMetrics(this.metrics);
+		this.timeline.setListener(RequestTracker.create(this.metrics));
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
@@ -118,6 +135,27 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
+	private ModelPath modelPath(GrantService grants) {
+		Context context = this.vertx.getOrCreateContext();
+		EngineClient engines = HttpEngineClient.create(this.vertx, this.settings.getEngines());
+		return new ModelPath(context, this.settings, grants, engines,
+				EngineHealth.create(context, engines, this.peers, this.timeline, this.settings.getEngines()),
+				EngineCanceller.create(this.vertx, engines, this.settings.getEngines()),
+				CarriedAttempts.create(this.peers), this.timeline);
+	}
+
+	private List<BackendServer> engines() {
+		return this.hosts.servers().stream().filter((server) -> server.kind() == BackendServer.Kind.ENGINE).toList();
+	}
+
+	/**
+	 * Returns what operators can ask.
+	 * @return the parts
+	 */
+	public OperatorParts operatorParts() {
+		return this.operatorParts;
+	}
+
 	/**
 	 * Starts all parts.
 	 * @return the ports, once requests are accepted
@@ -127,6 +165,7 @@
 		this.scheduling.start();
 		this.configuration.start();
 		this.hostReader.start();
+		this.auditor.start();
 		return this.callers.start()
 			.compose((callerPort) -> this.admin.start()
 				.compose((adminPort) -> this.peers.start(adminPort)
@@ -168,12 +207,14 @@
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
 		long deadlineNanos = System.nanoTime() + (noticeMillis + this.settings.getEdge().getDrainMillis()) * 1_000_000L;
 		this.vertx.setTimer(noticeMillis, (id) -> {
+			this.callers.refuseNew();
 			this.peers.leave();
 			awaitDrained(deadlineNanos, idle);
 		});
 		return idle.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
+			this.auditor.stop();
 			this.scheduling.stop();
 			return this.callers.stop();
 		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
@@ -210,6 +251,7 @@
 
 	private void hostsChanged(HostList next) {
 		this.hosts = next;
+		this.modelPath.health().hostsChanged(next);
 		this.peers.seed(next.routers());
 		this.configuration.expectPeers(!otherRouters().isEmpty());
 		// A large table takes milliseconds to compile, too long for an event loop.
