--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -4,9 +4,12 @@
 import java.lang.System.Logger.Level;
 import java.util.List;
 
+import io.balsamlane.core.configuration.TrackerTimes;
 import io.balsamlane.core.model.BackendServer;
 import io.balsamlane.core.model.HostList;
+import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
+import io.balsamlane.core.model.RouterHost;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
 import io.balsamlane.router.admin.OperatorParts;
@@ -82,6 +85,8 @@
 
 	private volatile HostList hosts = HostList.empty();
 
+	private Configuration latest = Configuration.getDefaultInstance();
+
 	private volatile Runnable drained = () -> {
 	};
 
@@ -95,10 +100,12 @@
 		this.state = RouterState.create(routes(Configuration.getDefaultInstance()));
 		PlatformStore store = MeteredPlatformStore.of(HttpPlatformStore.create(vertx, settings.getStore()),
 				this.metrics);
-		this.configuration = ConfigurationKeeper.create(vertx, store, settings.getStore().getRetryPauseMillis(),
+		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
+		this.configuration = ConfigurationKeeper.create(vertx, store, this.peers, TrackerTimes.standard(),
 				this::applied);
+		this.configuration.listedRouters(this::otherRouters);
+		this.state.setIsolated(this.configuration::isolated);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
-		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
 		this.scheduling = ModelScheduling.create(vertx, this.peers, settings);
 		this.modelPath = modelPath(MeteredGrantService.of(this.scheduling.grants(), this.metrics));
 		this.auditor = EngineAuditor.create(this.modelPath.context(), this.peers, this.modelPath.engines(),
@@ -222,7 +229,17 @@
 		}
 	}
 
+	private List<HostName> otherRouters() {
+		return this.hosts.routers()
+			.stream()
+			.filter((router) -> !router.leaving())
+			.map(RouterHost::name)
+			.filter((host) -> !host.value().equals(this.settings.getNode().getHost()))
+			.toList();
+	}
+
 	private synchronized void applied(Configuration next) {
+		this.latest = next;
 		this.state.setRoutes(routes(next));
 		this.peers.announceRevision(next.getRevision());
 		this.scheduling.setTopology(next, this.hosts);
@@ -232,12 +249,21 @@
 		}
 	}
 
-	private synchronized void hostsChanged(HostList next) {
+	private void hostsChanged(HostList next) {
 		this.hosts = next;
 		this.modelPath.health().hostsChanged(next);
 		this.peers.seed(next.routers());
-		this.state.setRoutes(routes(this.configuration.applied()));
-		this.scheduling.setTopology(this.configuration.applied(), next);
+		this.configuration.expectPeers(!otherRouters().isEmpty());
+		// A large table takes milliseconds to compile, too long for an event loop.
+		this.vertx.executeBlocking(this::compileAgain)
+			.onFailure((cause) -> logger.log(Level.ERROR, "The host list cannot be brought into force", cause));
+	}
+
+	private synchronized RouteTable compileAgain() {
+		RouteTable next = routes(this.latest);
+		this.state.setRoutes(next);
+		this.scheduling.setTopology(this.latest, this.hosts);
+		return next;
 	}
 
 	private RouteTable routes(Configuration next) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/ErrorKind.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/ErrorKind.java
@@ -40,6 +40,9 @@
 	/** This router is shutting down. */
 	SHUTTING_DOWN(503, "Send the request again over a new connection"),
 
+	/** This router reaches neither the platform store nor another router. */
+	ROUTER_ISOLATED(503, "Send the request again over a new connection"),
+
 	/** No pool serves the model. */
 	UNKNOWN_MODEL(404, "Check the name, or ask an operator to create a pool for the model"),
 
