--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -23,12 +23,14 @@
 	static ExperimentRegistry ofAll() {
 		ExperimentRegistry registry = new ExperimentRegistry();
 		registry.add("path", PathExperiment::create);
+		registry.add("configuration", ConfigurationExperiment::create);
 		registry.add("goodput", GoodputExperiment::create);
 		registry.add("waste", GoodputExperiment::createWithCancels);
 		registry.add("swing", SwingExperiment::create);
 		registry.add("stragglers", StragglersExperiment::create);
 		registry.add("recovery", RecoveryExperiment::create);
 		registry.add("slopes", SlopesExperiment::create);
+		registry.add("decision", (options) -> DecisionExperiment.create(options.seed(), options.out())::run);
 		return registry;
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
@@ -146,6 +146,8 @@
 			case API_PREFIX + "members" -> get(request, (asked) -> this.status.members());
 			case API_PREFIX + "events" -> get(request, this.status::events);
 			case API_PREFIX + "changes" -> post(request, this.configuration::submit);
+			case API_PREFIX + "in-force" -> get(request, this.configuration::inForce);
+			case API_PREFIX + "restore" -> post(request, this.configuration::restore);
 			case API_PREFIX + "preview" -> post(request, this.configuration::preview);
 			case API_PREFIX + "drain" -> post(request, (body) -> this.status.drain());
 			default -> OperatorAnswer
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/ConfigurationHandlers.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/ConfigurationHandlers.java
@@ -41,6 +41,32 @@
 				(change) -> this.parts.configuration().submit(change).map(ConfigurationHandlers::answer));
 	}
 
+	/**
+	 * Writes the configuration in force back to a store that holds an older one.
+	 * @param body a change without objects, which names id and author
+	 * @return the outcome
+	 */
+	Future<OperatorAnswer> restore(Buffer body) {
+		return withChange(body,
+				(change) -> this.parts.configuration().restore(change).map(ConfigurationHandlers::answer));
+	}
+
+	/**
+	 * Tells on which routers a revision is in force.
+	 * @param request names the revision
+	 * @return the hosts that have it in force and those that are missing
+	 */
+	Future<OperatorAnswer> inForce(HttpServerRequest request) {
+		String revision = request.getParam("revision", "");
+		if (!revision.matches("[0-9]{1,18}")) {
+			return Future.succeededFuture(OperatorAnswer.error(400, "malformed-query", "The query names no revision",
+					"Name a revision, such as in-force?revision=12"));
+		}
+		return this.parts.configuration()
+			.inForce(Long.parseLong(revision))
+			.map((answer) -> OperatorAnswer.json(200, answer.toJson()));
+	}
+
 	/**
 	 * Tells what a change would do without submitting it.
 	 * @param body the change; without objects the answer describes the present state
@@ -52,6 +78,10 @@
 
 	private OperatorAnswer preview(Change change) {
 		Configuration before = this.parts.configuration().applied();
+		if (change.getObjectsCount() == 0) {
+			return OperatorAnswer.json(200, new JsonObject().put("revision", before.getRevision())
+				.put("selectors", SelectorReach.of(this.parts.hosts().get()).compare(before, before)));
+		}
 		EditResult result = ConfigurationEditor.apply(before, change, System.currentTimeMillis());
 		if (result instanceof EditResult.Edited edited) {
 			SelectorReach reach = SelectorReach.of(this.parts.hosts().get());
@@ -92,6 +122,10 @@
 			return OperatorAnswer.error(503, "undecided", "The change may be stored: " + undecided.message(),
 					"Send it again with the same changeId");
 		}
+		if (result instanceof SubmitResult.StoreRegressed regressed) {
+			return OperatorAnswer.error(503, "store-regressed", "The change is not stored: " + regressed.message(),
+					"Check the platform store, then send POST /admin/v1/restore to a router with the highest revision");
+		}
 		return OperatorAnswer.error(503, "store-unavailable",
 				"The change is not stored: " + ((SubmitResult.StoreUnavailable) result).message(),
 				"Try again when the platform store answers; see docs/operations.md");
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/StatusHandlers.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/StatusHandlers.java
@@ -51,9 +51,16 @@
 					.put("draining", this.parts.state().draining())
 					.put("requestsInProgress", this.parts.inProgress().get())
 					.put("storeAgeMillis", this.parts.metrics().storeAgeNanos() / NANOS_PER_MILLI)
+					.put("alarms", alarms())
 					.put("members", members)));
 	}
 
+	private JsonObject alarms() {
+		JsonObject alarms = new JsonObject();
+		this.parts.configuration().status().alarms().forEach((kind, message) -> alarms.put(kind.name(), message));
+		return alarms;
+	}
+
 	Future<OperatorAnswer> members() {
 		return this.parts.memberTable()
 			.get()
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
@@ -143,6 +143,11 @@
 	private void handle(HttpServerRequest request) {
 		String requestId = this.requestIdPrefix + this.nextRequest++;
 		request.response().putHeader("X-Request-Id", requestId);
+		if (this.state.isolated()) {
+			refuseAndClose(request, Refusal.withRetry(ErrorKind.ROUTER_ISOLATED, Ran.NO,
+					"this router may lack accepted changes", RETRY_AFTER_MILLIS));
+			return;
+		}
 		if (this.refusing) {
 			refuseAndClose(request, Refusal.withRetry(ErrorKind.SHUTTING_DOWN, Ran.NO, "this router is shutting down",
 					RETRY_AFTER_MILLIS));
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/configuration/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the configuration's path through store and peers.
+ */
+package io.balsamlane.router.configuration;
