Orders to engines: leases, driver and engine interface

Cause: the decision classes had no store leases, no engines and no process around them. A property run with more frequent changes of the target also showed a fault: a new target ended the quiet period after an order with an unknown outcome, so a fourth order could meet a third that was still under way, and more engines than allowed changed at once.

The engine stand-in has GET /v1/state and POST /v1/orders (EngineOrderBook), with and without a check of the fencing number. The quiet period is kept when the target changes and lasts as long as the timing assumption. Objects of the operators' tool know adapters and orders.

--- a/balsamlane-cli/src/main/java/io/balsamlane/cli/ObjectFile.java
+++ b/balsamlane-cli/src/main/java/io/balsamlane/cli/ObjectFile.java
@@ -80,6 +80,8 @@
 			.setModel(keys.getString("model", ""))
 			.setPlace(keys.getString("place", ""))
 			.setChecksFencing(keys.getBoolean("checks_fencing", false))
+			.addAllAdapters(list(keys, "adapters"))
+			.setOrders(keys.getBoolean("orders", false))
 			.putAllLabels(labels(keys))
 			.build();
 	}
--- a/balsamlane-core/src/main/java/io/balsamlane/core/orders/EngineReconciler.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/orders/EngineReconciler.java
@@ -116,7 +116,8 @@
 		}
 		if (event instanceof OrderEvent.OrderUndecided) {
 			// A later order could overtake this one, so none follows until it cannot act.
-			slot.readAgainAt(Math.max(slot.nextReadNanos, slot.settledNanos));
+			slot.quietUntilNanos = slot.settledNanos;
+			slot.readAgainAt(nowNanos);
 		}
 		else if (event instanceof OrderEvent.EngineUnreadable) {
 			slot.inService = false;
@@ -169,8 +170,9 @@
 		long wishedNanos = nowNanos + this.limits.orderNanos() / 2;
 		long notAfterNanos = (wishedNanos - lastOrderNanos < 0) ? wishedNanos : lastOrderNanos;
 		slot.call = this.calls.getAsLong();
-		slot.settledNanos = notAfterNanos + this.limits.orderNanos();
-		this.settledNanos = slot.settledNanos;
+		// A successor waits one order time more, the holder itself has to wait both.
+		this.settledNanos = notAfterNanos + this.limits.orderNanos();
+		slot.settledNanos = notAfterNanos + 2 * this.limits.orderNanos();
 		return List.of(new IssueOrder(slot.call, engine, order, fencing, notAfterNanos));
 	}
 
@@ -191,12 +193,15 @@
 
 		private long settledNanos;
 
+		private long quietUntilNanos;
+
 		Slot(long nowNanos) {
-			readAgainAt(nowNanos);
+			this.nextReadNanos = nowNanos;
+			this.quietUntilNanos = nowNanos;
 		}
 
 		void readAgainAt(long timeNanos) {
-			this.nextReadNanos = timeNanos;
+			this.nextReadNanos = (timeNanos - this.quietUntilNanos < 0) ? this.quietUntilNanos : timeNanos;
 		}
 
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -5,7 +5,10 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
+import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.routing.RouteTable;
 import io.balsamlane.router.admin.AdminServer;
@@ -15,9 +18,11 @@
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
+import io.balsamlane.router.orders.HttpEngineOrders;
+import io.balsamlane.router.orders.OrderDriver;
+import io.balsamlane.router.peer.StandalonePeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
-import io.balsamlane.router.store.PlatformStore;
 import io.balsamlane.router.timeline.Timeline;
 import io.balsamlane.schema.Configuration;
 import io.balsamlane.schema.EventKind;
@@ -54,6 +59,8 @@
 
 	private final AdminServer admin;
 
+	private final OrderDriver orders;
+
 	private HostList hosts = HostList.empty();
 
 	private RouterDaemon(Vertx vertx, Settings settings) {
@@ -62,7 +69,7 @@
 		String host = settings.getNode().getHost();
 		this.timeline = Timeline.create(host, settings.getTimeline().getCapacityEvents(), System::currentTimeMillis);
 		this.state = RouterState.create(routes(Configuration.getDefaultInstance()));
-		PlatformStore store = HttpPlatformStore.create(vertx, settings.getStore());
+		HttpPlatformStore store = HttpPlatformStore.create(vertx, settings.getStore());
 		this.configuration = ConfigurationKeeper.create(vertx, store, settings.getStore().getRetryPauseMillis(),
 				this::applied);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
@@ -71,6 +78,9 @@
 		this.callers = CallerServer.create(vertx, settings, this.state, grants,
 				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS), SingleKeyIntentService.create(store),
 				this.timeline);
+		this.orders = OrderDriver.create(vertx, host, settings.getOrders(), store,
+				HttpEngineOrders.create(vertx, settings.getOrders().getOrderMillis()),
+				StandalonePeerNetwork.create(self()), this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
 		this.admin = AdminServer.create(vertx, settings, this.state, this.configuration, this.timeline, metrics());
 	}
 
@@ -84,10 +94,18 @@
 		return new RouterDaemon(vertx, settings);
 	}
 
+	private Member self() {
+		Endpoint peer = Endpoint.of(this.settings.getNode().getAddress(),
+				Math.max(1, this.settings.getPeer().getPort()));
+		return new Member(HostName.of(this.settings.getNode().getHost()), 1,
+				Place.of(this.settings.getNode().getPlace()), peer);
+	}
+
 	private MetricRegistry metrics() {
 		MetricRegistry registry = new MetricRegistry();
 		registry.register("configuration_revision", (Gauge<Long>) () -> this.state.routes().revision());
 		registry.register("requests_in_progress", (Gauge<Integer>) () -> this.callers.inProgress());
+		registry.register("order_leases_held", (Gauge<Integer>) () -> this.orders.leasesHeld());
 		return registry;
 	}
 
@@ -99,6 +117,7 @@
 		this.timeline.record(EventKind.PROCESS_STARTED, "", 0, this.settings.getNode().getHost(), "");
 		this.configuration.start();
 		this.hostReader.start();
+		this.orders.start();
 		return this.callers.start()
 			.compose((callerPort) -> this.admin.start().map((adminPort) -> new Ports(callerPort, adminPort)))
 			.onSuccess((ports) -> logger.log(Level.INFO,
@@ -112,6 +131,7 @@
 	 */
 	public Future<Void> stop() {
 		this.state.setDraining();
+		this.orders.release();
 		this.timeline.record(EventKind.PROCESS_STOPPING, "", 0, this.settings.getNode().getHost(), "");
 		Promise<Void> drained = Promise.promise();
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
@@ -120,6 +140,7 @@
 		return drained.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
+			this.orders.stop();
 			return this.callers.stop();
 		}).compose((done) -> this.admin.stop());
 	}
@@ -135,6 +156,7 @@
 
 	private synchronized void applied(Configuration next) {
 		this.state.setRoutes(routes(next));
+		this.orders.update(next, this.hosts);
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
 	}
@@ -142,6 +164,7 @@
 	private synchronized void hostsChanged(HostList next) {
 		this.hosts = next;
 		this.state.setRoutes(routes(this.configuration.applied()));
+		this.orders.update(this.configuration.applied(), next);
 	}
 
 	private RouteTable routes(Configuration next) {
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/orders/HttpEngineOrders.java
@@ -0,0 +1,122 @@
+package io.balsamlane.router.orders;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.orders.EngineOrder;
+import io.balsamlane.core.orders.EngineState;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * Engines that report their state and take orders as JSON.
+ */
+public final class HttpEngineOrders implements EngineOrders {
+
+	private static final int MAX_CONNECTIONS_PER_ENGINE = 2;
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+	private final HttpClient client;
+
+	private final long callTimeoutMillis;
+
+	private HttpEngineOrders(Vertx vertx, long callTimeoutMillis) {
+		this.callTimeoutMillis = callTimeoutMillis;
+		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
+				new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENGINE));
+	}
+
+	/**
+	 * Creates a client.
+	 * @param vertx the event loops to use
+	 * @param callTimeoutMillis longest wait for an answer, in milliseconds
+	 * @return the client
+	 */
+	public static HttpEngineOrders create(Vertx vertx, long callTimeoutMillis) {
+		return new HttpEngineOrders(vertx, callTimeoutMillis);
+	}
+
+	@Override
+	public Future<StateAnswer> readState(Endpoint engine) {
+		return this.client.request(options(HttpMethod.GET, engine, "/v1/state"))
+			.compose((request) -> exchange(request, Buffer.buffer()))
+			.compose((response) -> response.body().map((body) -> toState(response, body)))
+			.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
+			.otherwise((cause) -> new StateAnswer.Unreadable(String.valueOf(cause.getMessage())));
+	}
+
+	private static StateAnswer toState(HttpClientResponse response, Buffer body) {
+		if (response.statusCode() != 200) {
+			return new StateAnswer.Unreadable("the engine answered with status " + response.statusCode());
+		}
+		JsonObject json = body.toJsonObject();
+		List<String> adapters = json.getJsonArray("adapters", new JsonArray()).stream().map(String::valueOf).toList();
+		return new StateAnswer.Read(new EngineState(json.getString("role", ""), json.getString("model", ""), adapters,
+				json.getLong("fencing", 0L), json.getInteger("pendingOrders", 0)));
+	}
+
+	@Override
+	public Future<OrderAnswer> issue(Endpoint engine, EngineOrder order, long fencing, long notAfterNanos) {
+		JsonObject json = new JsonObject().put("fencing", fencing)
+			.put("kind", order.kind().name().toLowerCase(Locale.ROOT))
+			.put("value", order.value());
+		return this.client.request(options(HttpMethod.POST, engine, "/v1/orders"))
+			.transform((connected) -> connected.succeeded() ? send(connected.result(), json, notAfterNanos)
+					: notSent(String.valueOf(connected.cause().getMessage())))
+			.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
+			.otherwise((cause) -> new OrderAnswer.Undecided(String.valueOf(cause.getMessage())));
+	}
+
+	private Future<OrderAnswer> send(HttpClientRequest request, JsonObject order, long notAfterNanos) {
+		Buffer content = order.toBuffer();
+		// Nothing that takes time may come between this look at the clock and the write:
+		// the process can have been paused while it waited for the connection.
+		if (System.nanoTime() - notAfterNanos > 0) {
+			request.reset();
+			return notSent("the lease no longer covers the order");
+		}
+		return exchange(request, content)
+			.compose((response) -> response.body().map((body) -> toAnswer(response.statusCode(), body)));
+	}
+
+	private static Future<OrderAnswer> notSent(String reason) {
+		return Future.succeededFuture(new OrderAnswer.NotSent(reason));
+	}
+
+	private Future<HttpClientResponse> exchange(HttpClientRequest request, Buffer content) {
+		// An unanswered request is reset, so that it does not wait in the engine.
+		return request.send(content)
+			.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
+			.onFailure((cause) -> request.reset());
+	}
+
+	private static OrderAnswer toAnswer(int status, Buffer body) {
+		if (status == 200 || status == 202) {
+			return new OrderAnswer.Accepted();
+		}
+		if (status >= 500) {
+			return new OrderAnswer.Undecided("the engine answered with status " + status);
+		}
+		String kind = body.toJsonObject().getString("kind", "status-" + status);
+		return (status == 409 && kind.equals("stale-fencing")) ? new OrderAnswer.Stale()
+				: new OrderAnswer.Refused(kind);
+	}
+
+	private static RequestOptions options(HttpMethod method, Endpoint engine, String uri) {
+		return new RequestOptions().setMethod(method).setHost(engine.address()).setPort(engine.port()).setURI(uri);
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import io.balsamlane.schema.StoreSettings;
 import io.vertx.core.Future;
@@ -13,11 +14,12 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonObject;
 
 /**
  * Platform store reached by HTTP.
  */
-public final class HttpPlatformStore implements PlatformStore {
+public final class HttpPlatformStore implements LeaseStore {
 
 	private static final int MAX_CONNECTIONS = 16;
 
@@ -79,8 +81,19 @@
 
 	@Override
 	public Future<StoreWrite> compareAndSet(String key, byte[] value, long expectedVersion) {
-		RequestOptions options = options(HttpMethod.PUT, "/v1/kv/" + key).putHeader("If-Version",
-				Long.toString(expectedVersion));
+		return write(writeOptions(key, expectedVersion), value);
+	}
+
+	@Override
+	public Future<StoreWrite> compareAndSet(String key, byte[] value, long expectedVersion, long lease) {
+		return write(writeOptions(key, expectedVersion).putHeader("X-Lease", Long.toString(lease)), value);
+	}
+
+	private RequestOptions writeOptions(String key, long expectedVersion) {
+		return options(HttpMethod.PUT, "/v1/kv/" + key).putHeader("If-Version", Long.toString(expectedVersion));
+	}
+
+	private Future<StoreWrite> write(RequestOptions options, byte[] value) {
 		Future<StoreWrite> answer = this.client.request(options)
 			.compose((request) -> request.send(Buffer.buffer(value)))
 			.compose((response) -> response.body().map((body) -> toWrite(response)));
@@ -96,12 +109,49 @@
 		if (status == 412) {
 			return new StoreWrite.Mismatch(version(response));
 		}
+		if (status == 409) {
+			return new StoreWrite.LeaseGone();
+		}
 		if (status >= 500) {
 			return new StoreWrite.Undecided("the store answered with status " + status);
 		}
 		return new StoreWrite.Rejected("the store answered with status " + status);
 	}
 
+	@Override
+	public Future<StoreLease> grantLease(long leaseMillis) {
+		return lease(HttpMethod.POST, "/v1/leases", new JsonObject().put("ttlMillis", leaseMillis).toBuffer(),
+				(body) -> new StoreLease.Granted(body.getLong("lease")));
+	}
+
+	@Override
+	public Future<StoreLease> renewLease(long lease) {
+		return lease(HttpMethod.POST, "/v1/leases/" + lease + "/renew", Buffer.buffer(),
+				(body) -> new StoreLease.Renewed());
+	}
+
+	@Override
+	public Future<StoreLease> revokeLease(long lease) {
+		return lease(HttpMethod.DELETE, "/v1/leases/" + lease, Buffer.buffer(), (body) -> new StoreLease.Revoked());
+	}
+
+	private Future<StoreLease> lease(HttpMethod method, String uri, Buffer content,
+			Function<JsonObject, StoreLease> onSuccess) {
+		Future<StoreLease> answer = this.client.request(options(method, uri))
+			.compose((request) -> request.send(content))
+			.compose((response) -> response.body().map((body) -> toLease(response.statusCode(), body, onSuccess)));
+		return answer.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
+			.otherwise((cause) -> new StoreLease.Undecided(cause.getMessage()));
+	}
+
+	private static StoreLease toLease(int status, Buffer body, Function<JsonObject, StoreLease> onSuccess) {
+		return switch (status) {
+			case 200 -> onSuccess.apply(body.toJsonObject());
+			case 404 -> new StoreLease.Gone();
+			default -> new StoreLease.Undecided("the store answered with status " + status);
+		};
+	}
+
 	private static long version(HttpClientResponse response) {
 		return Long.parseLong(response.getHeader(VERSION_HEADER));
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/StoreWrite.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/StoreWrite.java
@@ -29,6 +29,12 @@
 	record Rejected(String message) implements StoreWrite {
 	}
 
+	/**
+	 * The write did not take effect, because the lease that it names has ended.
+	 */
+	record LeaseGone() implements StoreWrite {
+	}
+
 	/**
 	 * The answer is lost; the write may have taken effect or may yet do so.
 	 *
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/StandInMain.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/StandInMain.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 
 import io.balsamlane.standin.engine.EngineCapacity;
+import io.balsamlane.standin.engine.EngineOrderBook;
 import io.balsamlane.standin.engine.EngineStandIn;
 import io.balsamlane.standin.hosts.HostListStandIn;
 import io.balsamlane.standin.service.PlainServiceStandIn;
@@ -34,6 +35,8 @@
 			.addOption(null, "name", true, "name of the engine or replica")
 			.addOption(null, "lag-millis", true, "lag of the host list")
 			.addOption(null, "service-time-millis", true, "time of one call of a plain service")
+			.addOption(null, "checks-fencing", true, "whether an engine refuses orders with an old fencing number")
+			.addOption(null, "load-millis", true, "time that an engine takes to load a model or adapters")
 			.addOption(null, "file", true, "JSON file with the hosts");
 		CommandLine line = parse(options, args);
 		Vertx vertx = Vertx.vertx();
@@ -43,7 +46,7 @@
 			case "store" -> new PlatformStoreStandIn(vertx, port);
 			case "hosts" -> new HostListStandIn(vertx, port, Long.parseLong(line.getOptionValue("lag-millis", "500")),
 					new JsonArray(Files.readString(Path.of(line.getOptionValue("file")))));
-			case "engine" -> new EngineStandIn(vertx, port, name, EngineCapacity.ofDefaults());
+			case "engine" -> new EngineStandIn(vertx, port, name, EngineCapacity.ofDefaults(), orders(vertx, line));
 			case "service" -> new PlainServiceStandIn(vertx, port, name,
 					Long.parseLong(line.getOptionValue("service-time-millis", "5")));
 			default -> throw new IllegalArgumentException(
@@ -53,6 +56,11 @@
 		System.out.println("listening " + actualPort);
 	}
 
+	private static EngineOrderBook orders(Vertx vertx, CommandLine line) {
+		return EngineOrderBook.create(vertx, Boolean.parseBoolean(line.getOptionValue("checks-fencing", "true")),
+				Long.parseLong(line.getOptionValue("load-millis", "0")));
+	}
+
 	private static CommandLine parse(Options options, String[] args) throws ParseException {
 		if (args.length == 0) {
 			throw new ParseException("Name the stand-in: store, hosts, engine or service");
--- /dev/null
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineOrderBook.java
@@ -0,0 +1,163 @@
+package io.balsamlane.standin.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+/**
+ * Orders of an engine: {@code GET /v1/state}, {@code POST /v1/orders}, and the log of all
+ * orders under {@code /stand-in/orders}.
+ * <p>
+ * Faults: {@code hold} keeps arriving orders, {@code release} lets the kept ones arrive.
+ * <p>
+ * Orders come into force in the order of their acceptance; loads take time. A model load
+ * drops the adapters. All methods run on one event loop.
+ */
+public class EngineOrderBook {
+
+	private static final int MAX_LOG_ENTRIES = 100_000;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final Vertx vertx;
+
+	private final boolean checksFencing;
+
+	private final long loadMillis;
+
+	private final JsonArray log = new JsonArray();
+
+	private String role = "";
+
+	private String model = "";
+
+	private List<String> adapters = List.of();
+
+	private long fencing;
+
+	private int pending;
+
+	private long busyUntilNanos = System.nanoTime();
+
+	private final List<Runnable> heldOrders = new ArrayList<>();
+
+	private boolean holding;
+
+	EngineOrderBook(Vertx vertx, boolean checksFencing, long loadMillis) {
+		this.vertx = vertx;
+		this.checksFencing = checksFencing;
+		this.loadMillis = loadMillis;
+	}
+
+	/**
+	 * Creates the orders of an engine without role and model.
+	 * @param vertx the event loops to use
+	 * @param checksFencing whether orders with an old fencing number are refused
+	 * @param loadMillis time to load a model or adapters, in milliseconds
+	 * @return the order book
+	 */
+	public static EngineOrderBook create(Vertx vertx, boolean checksFencing, long loadMillis) {
+		return new EngineOrderBook(vertx, checksFencing, loadMillis);
+	}
+
+	boolean handle(HttpServerRequest request) {
+		if (request.path().equals("/v1/state") && request.method() == HttpMethod.GET) {
+			send(request.response(), 200, state());
+			return true;
+		}
+		if (request.path().equals("/v1/orders") && request.method() == HttpMethod.POST) {
+			request.body().onSuccess((body) -> {
+				JsonObject order = body.toJsonObject();
+				if (this.holding) {
+					this.heldOrders.add(() -> order(request.response(), order));
+				}
+				else {
+					order(request.response(), order);
+				}
+			});
+			return true;
+		}
+		return false;
+	}
+
+	private JsonObject state() {
+		return new JsonObject().put("role", this.role)
+			.put("model", this.model)
+			.put("adapters", new JsonArray(this.adapters))
+			.put("fencing", this.fencing)
+			.put("pendingOrders", this.pending);
+	}
+
+	private void order(HttpServerResponse response, JsonObject order) {
+		long number = order.getLong("fencing");
+		String kind = order.getString("kind");
+		String value = order.getString("value");
+		boolean stale = this.checksFencing && number < this.fencing;
+		if (this.log.size() < MAX_LOG_ENTRIES) {
+			this.log.add(order.copy().put("accepted", !stale));
+		}
+		if (stale) {
+			send(response, 409, new JsonObject().put("kind", "stale-fencing").put("fencing", this.fencing));
+			return;
+		}
+		if (!List.of("role", "model", "adapters").contains(kind)) {
+			send(response, 400, new JsonObject().put("kind", "unknown-order"));
+			return;
+		}
+		this.fencing = this.checksFencing ? number : 0;
+		this.pending++;
+		long nowNanos = System.nanoTime();
+		this.busyUntilNanos = Math.max(nowNanos, this.busyUntilNanos)
+				+ (kind.equals("role") ? 0 : this.loadMillis * NANOS_PER_MILLI);
+		this.vertx.setTimer(1 + (this.busyUntilNanos - nowNanos) / NANOS_PER_MILLI, (id) -> apply(kind, value));
+		send(response, 202, new JsonObject());
+	}
+
+	private void apply(String kind, String value) {
+		this.pending--;
+		if (kind.equals("role")) {
+			this.role = value;
+		}
+		else if (kind.equals("model")) {
+			this.model = value;
+			this.adapters = List.of();
+		}
+		else {
+			this.adapters = Stream.of(value.split(",")).filter((name) -> !name.isEmpty()).sorted().toList();
+		}
+	}
+
+	private static void send(HttpServerResponse response, int status, JsonObject body) {
+		if (!response.ended() && !response.closed()) {
+			response.setStatusCode(status).putHeader("content-type", "application/json").end(body.encode());
+		}
+	}
+
+	boolean control(HttpServerRequest request) {
+		if (!request.path().equals("/stand-in/orders")) {
+			return false;
+		}
+		if (request.method() == HttpMethod.GET) {
+			send(request.response(), 200, state().put("orders", this.log).put("heldOrders", this.heldOrders.size()));
+			return true;
+		}
+		request.body().onSuccess((body) -> {
+			JsonObject faults = body.toJsonObject();
+			this.holding = faults.getBoolean("hold", this.holding);
+			if (faults.getBoolean("release", false)) {
+				this.heldOrders.forEach(Runnable::run);
+				this.heldOrders.clear();
+			}
+			send(request.response(), 200, new JsonObject());
+		});
+		return true;
+	}
+
+}
