--- /dev/null
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/orders/RoleShiftPlannerTests.java
@@ -0,0 +1,74 @@
+package io.balsamlane.core.orders;
+
+import io.balsamlane.schema.EngineRole;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against engines that are moved to and fro and spend their time changing.
+ */
+class RoleShiftPlannerTests {
+
+	private static final long CHANGE = 60;
+
+	private static final DomainDemand PREFILL_BUSY = new DomainDemand(3.9, 4, 2, 4, 0);
+
+	private static final DomainDemand DECODE_BUSY = new DomainDemand(2, 4, 3.9, 4, 0);
+
+	@Test
+	void lastingShiftIsSuggestedOnceItLastsLongerThanItCosts() {
+		RoleShiftPlanner planner = RoleShiftPlanner.create(true, CHANGE, 600, 0);
+		assertThat(planner.observe(PREFILL_BUSY, 0)).isInstanceOf(ShiftSuggestion.Stay.class);
+		assertThat(planner.observe(PREFILL_BUSY, 119)).isInstanceOf(ShiftSuggestion.Stay.class);
+		assertThat(planner.observe(PREFILL_BUSY, 120)).isEqualTo(new ShiftSuggestion.ChangeRole(EngineRole.PREFILL));
+		assertThat(planner.observe(PREFILL_BUSY, 719)).isInstanceOf(ShiftSuggestion.Stay.class);
+	}
+
+	@Test
+	void idleEngineIsUsedBeforeAnotherPoolGivesOne() {
+		RoleShiftPlanner planner = RoleShiftPlanner.create(true, CHANGE, 600, 0);
+		DomainDemand demand = new DomainDemand(1, 4, 3.9, 4, 1);
+		planner.observe(demand, 0);
+		assertThat(planner.observe(demand, 120)).isEqualTo(new ShiftSuggestion.LoadOnIdle(EngineRole.DECODE));
+	}
+
+	@Test
+	void poolThatWouldBecomeBusyGivesNoEngine() {
+		RoleShiftPlanner planner = RoleShiftPlanner.create(true, CHANGE, 600, 0);
+		DomainDemand demand = new DomainDemand(2.2, 4, 3.9, 4, 0);
+		planner.observe(demand, 0);
+		assertThat(planner.observe(demand, 10_000)).isInstanceOf(ShiftSuggestion.Stay.class);
+	}
+
+	@Test
+	void disabledPlannerSuggestsNothing() {
+		RoleShiftPlanner planner = RoleShiftPlanner.create(false, CHANGE, 600, 0);
+		planner.observe(PREFILL_BUSY, 0);
+		assertThat(planner.observe(PREFILL_BUSY, 10_000)).isInstanceOf(ShiftSuggestion.Stay.class);
+	}
+
+	/**
+	 * The required time doubles from 240 to 7,680 with each change of direction, so a
+	 * swing with half periods of up to 5,000 allows the first change and at most five
+	 * reversals.
+	 */
+	@Property(tries = 200, seed = "20261204")
+	void periodicSwingCausesFewChanges(@ForAll @IntRange(min = 10, max = 5000) int halfPeriod) {
+		RoleShiftPlanner planner = RoleShiftPlanner.create(true, CHANGE, 0, 0);
+		int reversals = 0;
+		ShiftSuggestion last = null;
+		for (long now = 0; now < 100L * halfPeriod; now += 10) {
+			ShiftSuggestion suggestion = planner.observe((now / halfPeriod % 2 == 0) ? PREFILL_BUSY : DECODE_BUSY, now);
+			if (suggestion instanceof ShiftSuggestion.ChangeRole) {
+				reversals += (last != null && !suggestion.equals(last)) ? 1 : 0;
+				last = suggestion;
+			}
+		}
+		assertThat(reversals).isLessThanOrEqualTo(5);
+	}
+
+}
