--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineOrderBook.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineOrderBook.java
@@ -101,13 +101,13 @@
 		String value = order.getString("value");
 		boolean stale = this.checksFencing && number < this.fencing;
 		if (this.log.size() < MAX_LOG_ENTRIES) {
-			this.log.add(order.copy().put("accepted", !stale));
+			this.log.add(order.copy().put("accepted", !stale).put("atMillis", System.currentTimeMillis()));
 		}
 		if (stale) {
 			send(response, 409, new JsonObject().put("kind", "stale-fencing").put("fencing", this.fencing));
 			return;
 		}
-		if (!List.of("role", "model", "adapters").contains(kind)) {
+		if (!List.of("role", "model", "adapters", "load_adapter").contains(kind)) {
 			send(response, 400, new JsonObject().put("kind", "unknown-order"));
 			return;
 		}
@@ -117,7 +117,7 @@
 		this.busyUntilNanos = Math.max(nowNanos, this.busyUntilNanos)
 				+ (kind.equals("role") ? 0 : this.loadMillis * NANOS_PER_MILLI);
 		this.vertx.setTimer(1 + (this.busyUntilNanos - nowNanos) / NANOS_PER_MILLI, (id) -> apply(kind, value));
-		send(response, 202, new JsonObject());
+		send(response, 200, new JsonObject());
 	}
 
 	private void apply(String kind, String value) {
@@ -129,6 +129,9 @@
 			this.model = value;
 			this.adapters = List.of();
 		}
+		else if (kind.equals("load_adapter")) {
+			this.adapters = Stream.concat(this.adapters.stream(), Stream.of(value)).distinct().sorted().toList();
+		}
 		else {
 			this.adapters = Stream.of(value.split(",")).filter((name) -> !name.isEmpty()).sorted().toList();
 		}
