--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -31,6 +31,8 @@
 import io.balsamlane.router.metrics.MeteredPlatformStore;
 import io.balsamlane.router.metrics.RequestTracker;
 import io.balsamlane.router.metrics.RouterMetrics;
+import io.balsamlane.router.orders.HttpEngineOrders;
+import io.balsamlane.router.orders.OrderDriver;
 import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
 import io.balsamlane.router.store.HttpPlatformStore;
@@ -81,6 +83,8 @@
 
 	private final AdminServer admin;
 
+	private final OrderDriver orders;
+
 	private final RouterMetrics metrics = RouterMetrics.create();
 
 	private volatile HostList hosts = HostList.empty();
@@ -98,8 +102,8 @@
 		String host = settings.getNode().getHost();
 		this.timeline = Timeline.create(host, settings.getTimeline().getCapacityEvents(), System::currentTimeMillis);
 		this.state = RouterState.create(routes(Configuration.getDefaultInstance()));
-		PlatformStore store = MeteredPlatformStore.of(HttpPlatformStore.create(vertx, settings.getStore()),
-				this.metrics);
+		HttpPlatformStore platform = HttpPlatformStore.create(vertx, settings.getStore());
+		PlatformStore store = MeteredPlatformStore.of(platform, this.metrics);
 		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
 		this.configuration = ConfigurationKeeper.create(vertx, store, this.peers, TrackerTimes.standard(),
 				this::applied);
@@ -117,9 +121,13 @@
 				EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress, this::drain,
 				this.peers::table);
 		this.admin = AdminServer.create(vertx, settings, this.operatorParts);
+		this.orders = OrderDriver.create(vertx, host, settings.getOrders(), platform,
+				HttpEngineOrders.create(vertx, settings.getOrders().getOrderMillis()), this.peers, this.timeline,
+				RandomSource.XO_RO_SHI_RO_128_PP.create());
 		this.metrics.members(() -> this.peers.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
+		this.metrics.orders(this.orders::leasesHeld);
 		this.scheduling.registerMetrics(this.metrics);
 		this.timeline.setListener(RequestTracker.create(this.metrics));
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
@@ -165,6 +173,7 @@
 		this.scheduling.start();
 		this.configuration.start();
 		this.hostReader.start();
+		this.orders.start();
 		this.auditor.start();
 		return this.callers.start()
 			.compose((callerPort) -> this.admin.start()
@@ -202,6 +211,7 @@
 
 	private Future<Void> stopOnce() {
 		this.state.setDraining();
+		this.orders.release();
 		this.timeline.record(EventKind.PROCESS_STOPPING, "", 0, this.settings.getNode().getHost(), "");
 		Promise<Void> idle = Promise.promise();
 		long noticeMillis = Math.max(1, this.settings.getEdge().getBalancerNoticeMillis());
@@ -216,6 +226,7 @@
 			this.hostReader.stop();
 			this.auditor.stop();
 			this.scheduling.stop();
+			this.orders.stop();
 			return this.callers.stop();
 		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
 	}
@@ -243,6 +254,7 @@
 		this.state.setRoutes(routes(next));
 		this.peers.announceRevision(next.getRevision());
 		this.scheduling.setTopology(next, this.hosts);
+		this.orders.update(next, this.hosts);
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		try (LogContext context = LogContext.revision(next.getRevision())) {
 			logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
@@ -263,6 +275,7 @@
 		RouteTable next = routes(this.latest);
 		this.state.setRoutes(next);
 		this.scheduling.setTopology(this.latest, this.hosts);
+		this.orders.update(this.latest, this.hosts);
 		return next;
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/metrics/Metric.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/Metric.java
@@ -33,6 +33,8 @@
 
 	MEMBERS("gauge", "Routers that this router believes to be alive, itself included"),
 
+	ORDER_LEASES_HELD("gauge", "Pools whose orders this router issues"),
+
 	CONFIGURATION_REVISION("gauge", "Revision of the configuration in force on this router"),
 
 	REQUESTS_IN_PROGRESS("gauge", "Requests of callers in progress"),
--- a/balsamlane-router/src/main/java/io/balsamlane/router/metrics/RouterMetrics.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/RouterMetrics.java
@@ -148,6 +148,14 @@
 		gauge(Metric.MEMBERS, members);
 	}
 
+	/**
+	 * Adds the number of pools whose orders this router issues.
+	 * @param leases reads it
+	 */
+	public void orders(LongSupplier leases) {
+		gauge(Metric.ORDER_LEASES_HELD, leases);
+	}
+
 	/**
 	 * Adds the state of this router.
 	 * @param revision reads the revision in force
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineStandIn.java
@@ -52,7 +52,7 @@
 
 	private final PrefillQueue prefills;
 
-	private final OrderBook orders;
+	private final EngineOrderBook orders;
 
 	private final UniformRandomProvider random;
 
@@ -110,7 +110,7 @@
 		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(behaviour.seed());
 		this.prefixCache = new PrefixCache(capacity.cacheBlocks(), capacity.reportLagMillis(), this::lost);
 		this.prefills = new PrefillQueue(vertx);
-		this.orders = new OrderBook(behaviour.checksFencing());
+		this.orders = EngineOrderBook.create(vertx, behaviour.checksFencing(), behaviour.orderMillis());
 		vertx.setPeriodic(reportMillis(), (id) -> publishLoad());
 	}
 
@@ -133,7 +133,7 @@
 
 	@Override
 	protected void handle(HttpServerRequest request) {
-		if (this.faults.frozen()) {
+		if (this.faults.frozen() || this.orders.handle(request)) {
 			return;
 		}
 		String path = request.path();
@@ -160,27 +160,14 @@
 			case "/v1/prefill" -> prefill(response, order, oneWayMillis);
 			case "/v1/decode" -> decode(response, order, oneWayMillis);
 			case "/v1/cancel" -> cancel(response, order.getString("attempt"));
-			case "/v1/orders" -> order(response, order);
 			default -> sendError(response, 404, "unknown-path");
 		}
 	}
 
-	private void order(HttpServerResponse response, JsonObject order) {
-		if (!this.orders.accept(order)) {
-			sendError(response, 409, "stale-fencing");
-			return;
-		}
-		afterMillis(this.behaviour.orderMillis(), () -> {
-			this.orders.carryOut(order);
-			sendJson(response, 200, "{}");
-		});
-	}
-
 	private void get(HttpServerRequest request, String path) {
 		HttpServerResponse response = request.response();
 		switch (path) {
 			case "/v1/load" -> sendJson(response, 200, this.reportedLoad.encode());
-			case "/v1/orders" -> sendJson(response, 200, this.orders.state().encode());
 			case "/v1/running" -> sendJson(response, 200, running().encode());
 			case "/v1/cache-events" -> sendJson(response, 200,
 					this.prefixCache.eventsAfter(Long.parseLong(request.getParam("after", "0"))).encode());
@@ -430,14 +417,14 @@
 
 	@Override
 	protected void control(HttpServerRequest request) {
+		if (this.orders.control(request)) {
+			return;
+		}
 		if (request.method() == HttpMethod.GET) {
 			JsonObject state = load().put("running", running()).put("farBytes", this.farBytes);
 			if (request.path().endsWith("/ledger")) {
 				state.put("ledger", this.ledger);
 			}
-			else if (request.path().endsWith("/orders")) {
-				state.put("orders", this.orders.log());
-			}
 			sendJson(request.response(), 200, state.encode());
 			return;
 		}
