--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/ServiceCallHandler.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/ServiceCallHandler.java
@@ -110,14 +110,13 @@
 		switch (reply.getResult()) {
 			case CREATED -> {
 				this.timeline.record(EventKind.CALL_INTENT_RECORDED, requestId, 1, "", "");
-				dispatch(request, requestId, replica, uri, body, intent);
+				dispatch(request, requestId, replica, uri, body, reply.getRecord());
 			}
 			case EXISTS -> replay(response, intent, reply.getRecord());
-			default ->
-				Refusal
-					.withRetry(503, "store-unavailable", Ran.NO, "the call cannot be recorded: " + reply.getReason(),
-							Math.max(1, reply.getRetryAfterMillis()))
-					.send(response);
+			default -> Refusal
+				.withRetry(503, "store-unavailable", reply.getOtherRunPossible() ? Ran.UNKNOWN : Ran.NO,
+						"the call cannot be recorded: " + reply.getReason(), Math.max(1, reply.getRetryAfterMillis()))
+				.send(response);
 		}
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
@@ -88,6 +88,15 @@
 			.otherwise((cause) -> new StoreWrite.Undecided(cause.getMessage()));
 	}
 
+	@Override
+	public Future<StoreWrite> delete(String key) {
+		Future<StoreWrite> answer = this.client.request(options(HttpMethod.DELETE, "/v1/kv/" + key))
+			.compose((request) -> request.send())
+			.compose((response) -> response.body().map((body) -> toWrite(response)));
+		return answer.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
+			.otherwise((cause) -> new StoreWrite.Undecided(cause.getMessage()));
+	}
+
 	private static StoreWrite toWrite(HttpClientResponse response) {
 		int status = response.statusCode();
 		if (status == 200) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/PlatformStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/PlatformStore.java
@@ -24,6 +24,13 @@
 	 */
 	Future<StoreWrite> compareAndSet(String key, byte[] value, long expectedVersion);
 
+	/**
+	 * Deletes a key.
+	 * @param key the key
+	 * @return the outcome; written also if the key had no value
+	 */
+	Future<StoreWrite> delete(String key);
+
 	/**
 	 * Waits until a key has a value of a higher version.
 	 * @param key the key
