Plain-service calls: streamed, retried within a budget, hedged, recorded

Cause: the service handler kept whole bodies in memory, chose replicas in turn and had no retries, and answered a 503 of a leaving replica to callers.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
@@ -8,6 +8,7 @@
 import io.balsamlane.router.decision.GrantService;
 import io.balsamlane.router.engine.EngineClient;
 import io.balsamlane.router.records.IntentService;
+import io.balsamlane.router.service.ServiceCallHandler;
 import io.balsamlane.router.timeline.Timeline;
 import io.balsamlane.schema.Caller;
 import io.balsamlane.schema.Settings;
@@ -61,8 +62,7 @@
 		this.timeline = timeline;
 		String host = settings.getNode().getHost();
 		this.requestIdPrefix = host + "-" + Long.toString(System.currentTimeMillis(), 36) + "-";
-		this.services = new ServiceCallHandler(vertx, intents, timeline, host,
-				settings.getRecords().getMaxAnswerBytes());
+		this.services = ServiceCallHandler.create(vertx, settings, intents, timeline);
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/Ran.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/Ran.java
@@ -5,7 +5,7 @@
 /**
  * Whether a request that was not answered normally has run.
  */
-enum Ran {
+public enum Ran {
 
 	/** The request did not run. */
 	NO,
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
@@ -14,13 +14,31 @@
  * @param retryAfterMillis time after which a new try makes sense; 0 if waiting does not
  * help
  */
-record Refusal(int status, String kind, Ran ran, String detail, String remedy, int retryAfterMillis) {
+public record Refusal(int status, String kind, Ran ran, String detail, String remedy, int retryAfterMillis) {
 
-	static Refusal of(int status, String kind, Ran ran, String detail, String remedy) {
+	/**
+	 * Creates an answer to a request that waiting does not help.
+	 * @param status the HTTP status code
+	 * @param kind the stable kind of the error
+	 * @param ran whether the request ran
+	 * @param detail what went wrong
+	 * @param remedy what the caller can do
+	 * @return the answer
+	 */
+	public static Refusal of(int status, String kind, Ran ran, String detail, String remedy) {
 		return new Refusal(status, kind, ran, detail, remedy, 0);
 	}
 
-	static Refusal withRetry(int status, String kind, Ran ran, String detail, int retryAfterMillis) {
+	/**
+	 * Creates an answer to a request that makes sense again after a time.
+	 * @param status the HTTP status code
+	 * @param kind the stable kind of the error
+	 * @param ran whether the request ran
+	 * @param detail what went wrong
+	 * @param retryAfterMillis the time, in milliseconds
+	 * @return the answer
+	 */
+	public static Refusal withRetry(int status, String kind, Ran ran, String detail, int retryAfterMillis) {
 		return new Refusal(status, kind, ran, detail, "Send the request again after the given time", retryAfterMillis);
 	}
 
@@ -34,7 +52,11 @@
 			.put("remedy", this.remedy);
 	}
 
-	void send(HttpServerResponse response) {
+	/**
+	 * Sends the answer unless the response has ended.
+	 * @param response the response to complete
+	 */
+	public void send(HttpServerResponse response) {
 		if (response.ended() || response.closed()) {
 			return;
 		}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/RepeatableCall.java
@@ -0,0 +1,144 @@
+package io.balsamlane.router.service;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.balsamlane.core.model.BackendServer;
+import io.balsamlane.router.edge.Ran;
+import io.balsamlane.router.edge.Refusal;
+import io.balsamlane.router.service.ServiceAttempt.Result;
+import io.vertx.core.Vertx;
+
+/**
+ * A call that may run more than once: it is retried within its deadline and the retry
+ * budget, and hedged if its service allows it.
+ */
+final class RepeatableCall {
+
+	private static final int RETRY_AFTER_MILLIS = 1000;
+
+	private final Vertx vertx;
+
+	private final ReplicaTable replicas;
+
+	private final ReplicaClient client;
+
+	private final ServiceCall call;
+
+	private final boolean hedged;
+
+	private final long deadlineNanos;
+
+	private final Set<BackendServer> tried = new HashSet<>();
+
+	private final List<ServiceAttempt> running = new CopyOnWriteArrayList<>();
+
+	private boolean mayHaveRun;
+
+	private boolean secondRound;
+
+	private boolean done;
+
+	private long timer;
+
+	RepeatableCall(Vertx vertx, ReplicaTable replicas, ReplicaClient client, ServiceCall call, boolean hedged,
+			long timeoutMillis) {
+		this.vertx = vertx;
+		this.replicas = replicas;
+		this.client = client;
+		this.call = call;
+		this.hedged = hedged;
+		this.deadlineNanos = System.nanoTime() + timeoutMillis * 1_000_000;
+		this.timer = vertx.setTimer(timeoutMillis, (id) -> timedOut());
+	}
+
+	void start() {
+		this.replicas.requested(this.call.service());
+		this.call.request().response().closeHandler((closed) -> finish());
+		if (attempt(!this.hedged) && this.hedged && this.call.body().complete()) {
+			this.replicas.hedgeDelayNanos(this.call.service())
+				.ifPresent((nanos) -> this.vertx.setTimer(Math.max(1, nanos / 1_000_000), (id) -> hedge()));
+		}
+	}
+
+	private void hedge() {
+		if (!this.done && this.running.size() == 1 && this.call.route().replicas().size() > this.tried.size()
+				&& this.replicas.mayHedge(this.call.service())) {
+			attempt(false);
+		}
+	}
+
+	private boolean attempt(boolean mayProbe) {
+		Optional<ReplicaTable.Lease> lease = this.replicas.choose(this.call.route(), this.tried, mayProbe);
+		if (lease.isEmpty() && !this.secondRound) {
+			// Each replica may be tried twice: its first connection may have been an old
+			// one.
+			this.secondRound = true;
+			this.tried.clear();
+			lease = this.replicas.choose(this.call.route(), this.tried, false);
+		}
+		if (lease.isEmpty()) {
+			refuse("no-replica", "no replica of " + this.call.service() + " takes new calls");
+			return false;
+		}
+		this.tried.add(lease.get().server());
+		ServiceAttempt[] own = new ServiceAttempt[1];
+		own[0] = new ServiceAttempt(this.replicas, this.client, lease.get(), (result) -> ended(own[0], result));
+		this.running.add(own[0]);
+		own[0].start(this.call.request(), this.call.requestId(), this.call.uri(), this.call.body());
+		return true;
+	}
+
+	private void ended(ServiceAttempt attempt, Result result) {
+		this.running.remove(attempt);
+		if (this.done) {
+			return;
+		}
+		if (result instanceof Result.Answered answered) {
+			finish();
+			AnswerRelay.relay(answered.response(), this.call.request().response(), 0)
+				.onSuccess((stored) -> this.replicas.succeeded(attempt.lease()))
+				.onFailure((cause) -> this.replicas.failed(attempt.lease()));
+			return;
+		}
+		boolean sent = result instanceof Result.Failed failed && failed.sent();
+		this.mayHaveRun |= sent;
+		if (!this.running.isEmpty()) {
+			return;
+		}
+		boolean again = this.call.body().repeatable() && System.nanoTime() - this.deadlineNanos < 0
+				&& (!sent || this.replicas.mayRetry(this.call.service()));
+		if (again) {
+			attempt(false);
+		}
+		else {
+			refuse("server-failed", "the backend server broke the connection or made no progress");
+		}
+	}
+
+	private void timedOut() {
+		if (!this.done) {
+			this.mayHaveRun |= !this.running.isEmpty();
+			refuse("deadline-exceeded", "no replica of " + this.call.service() + " answered in time");
+		}
+	}
+
+	private void refuse(String kind, String detail) {
+		finish();
+		Refusal
+			.withRetry(this.mayHaveRun ? 502 : 503, kind, this.mayHaveRun ? Ran.UNKNOWN : Ran.NO, detail,
+					RETRY_AFTER_MILLIS)
+			.send(this.call.request().response());
+	}
+
+	private void finish() {
+		this.done = true;
+		this.vertx.cancelTimer(this.timer);
+		this.running.forEach(ServiceAttempt::abandon);
+		this.running.clear();
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls of plain services.
+ */
+package io.balsamlane.router.service;
