--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -23,6 +23,7 @@
 	static ExperimentRegistry ofAll() {
 		ExperimentRegistry registry = new ExperimentRegistry();
 		registry.add("path", PathExperiment::create);
+		registry.add("records", RecordsExperiment::create);
 		return registry;
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/ServiceAttempt.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/ServiceAttempt.java
@@ -66,7 +66,7 @@
 		this.ended = true;
 		if (response.statusCode() == 503 && "true".equals(response.getHeader("X-Leaving"))) {
 			this.replicas.leaving(this.lease);
-			this.outgoing.reset();
+			response.resume();
 			this.listener.accept(new Result.Leaving());
 		}
 		else {
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of calls of plain services.
+ */
+package io.balsamlane.router.service;
