--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -24,6 +24,11 @@
 		ExperimentRegistry registry = new ExperimentRegistry();
 		registry.add("path", PathExperiment::create);
 		registry.add("records", RecordsExperiment::create);
+		registry.add("goodput", GoodputExperiment::create);
+		registry.add("waste", GoodputExperiment::createWithCancels);
+		registry.add("swing", SwingExperiment::create);
+		registry.add("stragglers", StragglersExperiment::create);
+		registry.add("recovery", RecoveryExperiment::create);
 		return registry;
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -9,8 +9,7 @@
 import io.balsamlane.router.admin.AdminServer;
 import io.balsamlane.router.admin.OperatorParts;
 import io.balsamlane.router.configuration.ConfigurationKeeper;
-import io.balsamlane.router.decision.GrantService;
-import io.balsamlane.router.decision.LocalGrantService;
+import io.balsamlane.router.decision.ModelScheduling;
 import io.balsamlane.router.edge.CallerServer;
 import io.balsamlane.router.engine.HttpEngineClient;
 import io.balsamlane.router.hosts.HostListReader;
@@ -63,6 +62,8 @@
 
 	private final FleetIntentService intents;
 
+	private final ModelScheduling scheduling;
+
 	private final CallerServer callers;
 
 	private final AdminServer admin;
@@ -90,9 +91,9 @@
 		this.peers = NettyPeerNetwork.create(vertx, settings, this.timeline, RandomSource.XO_RO_SHI_RO_128_PP.create());
 		this.recordWriters = RecordWriterService.create(settings, this.peers, store);
 		this.intents = FleetIntentService.create(vertx, this.peers, settings.getRecords());
-		GrantService grants = LocalGrantService.create(RandomSource.XO_RO_SHI_RO_128_PP.create(),
-				settings.getScheduling().getPieceTokens());
-		this.callers = CallerServer.create(vertx, settings, this.state, MeteredGrantService.of(grants, this.metrics),
+		this.scheduling = ModelScheduling.create(vertx, this.peers, settings);
+		this.callers = CallerServer.create(vertx, settings, this.state,
+				MeteredGrantService.of(this.scheduling.grants(), this.metrics),
 				HttpEngineClient.create(vertx, PREFILL_TIMEOUT_MILLIS),
 				MeteredIntentService.of(this.intents, this.metrics), this.timeline);
 		this.admin = AdminServer.create(vertx, settings,
@@ -102,6 +103,7 @@
 		this.metrics.members(() -> this.peers.members().members().size());
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
+		this.scheduling.registerMetrics(this.metrics);
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
@@ -121,6 +123,7 @@
 	 */
 	public Future<Ports> start() {
 		this.timeline.record(EventKind.PROCESS_STARTED, "", 0, this.settings.getNode().getHost(), "");
+		this.scheduling.start();
 		this.configuration.start();
 		this.hostReader.start();
 		this.recordWriters.start();
@@ -171,6 +174,7 @@
 		return idle.future().compose((done) -> {
 			this.configuration.stop();
 			this.hostReader.stop();
+			this.scheduling.stop();
 			return this.callers.stop();
 		})
 			.compose((done) -> this.admin.stop())
@@ -191,6 +195,7 @@
 	private synchronized void applied(Configuration next) {
 		this.state.setRoutes(routes(next));
 		this.peers.announceRevision(next.getRevision());
+		this.scheduling.setTopology(next, this.hosts);
 		this.timeline.recordRevision(EventKind.CONFIGURATION_APPLIED, next.getRevision(), "");
 		try (LogContext context = LogContext.revision(next.getRevision())) {
 			logger.log(Level.INFO, "Configuration revision {0,number,#} is in force", next.getRevision());
@@ -201,6 +206,7 @@
 		this.hosts = next;
 		this.peers.seed(next.routers());
 		this.state.setRoutes(routes(this.configuration.applied()));
+		this.scheduling.setTopology(this.configuration.applied(), next);
 	}
 
 	private RouteTable routes(Configuration next) {
