--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -24,6 +24,7 @@
 		ExperimentRegistry registry = new ExperimentRegistry();
 		registry.add("path", PathExperiment::create);
 		registry.add("configuration", ConfigurationExperiment::create);
+		registry.add("records", RecordsExperiment::create);
 		registry.add("goodput", GoodputExperiment::create);
 		registry.add("waste", GoodputExperiment::createWithCancels);
 		registry.add("swing", SwingExperiment::create);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -34,7 +34,8 @@
 import io.balsamlane.router.orders.HttpEngineOrders;
 import io.balsamlane.router.orders.OrderDriver;
 import io.balsamlane.router.peer.NettyPeerNetwork;
-import io.balsamlane.router.records.SingleKeyIntentService;
+import io.balsamlane.router.records.FleetIntentService;
+import io.balsamlane.router.records.RecordWriterService;
 import io.balsamlane.router.store.HttpPlatformStore;
 import io.balsamlane.router.store.PlatformStore;
 import io.balsamlane.router.timeline.EventGatherer;
@@ -75,6 +76,10 @@
 
 	private final NettyPeerNetwork peers;
 
+	private final RecordWriterService recordWriters;
+
+	private final FleetIntentService intents;
+
 	private final ModelScheduling scheduling;
 
 	private final CallerServer callers;
@@ -110,13 +115,14 @@
 		this.configuration.listedRouters(this::otherRouters);
 		this.state.setIsolated(this.configuration::isolated);
 		this.hostReader = HostListReader.create(vertx, settings.getHosts(), this::hostsChanged);
+		this.recordWriters = RecordWriterService.create(settings, this.peers, store);
+		this.intents = FleetIntentService.create(vertx, this.peers, settings.getRecords());
 		this.scheduling = ModelScheduling.create(vertx, this.peers, settings);
 		this.modelPath = modelPath(MeteredGrantService.of(this.scheduling.grants(), this.metrics));
 		this.auditor = EngineAuditor.create(this.modelPath.context(), this.peers, this.modelPath.engines(),
 				this.modelPath.canceller(), this.timeline, this::engines, settings.getEngines().getAuditMillis());
 		this.callers = CallerServer.create(this.modelPath, this.state,
-				MeteredIntentService.of(SingleKeyIntentService.create(store), this.metrics),
-				this.peers.members().self().incarnation());
+				MeteredIntentService.of(this.intents, this.metrics), this.peers.members().self().incarnation());
 		this.operatorParts = new OperatorParts(this.state, this.configuration, () -> this.hosts, this.peers,
 				EventGatherer.create(this.timeline, this.peers), this.metrics, this.callers::inProgress, this::drain,
 				this.peers::table);
@@ -174,6 +180,7 @@
 		this.configuration.start();
 		this.hostReader.start();
 		this.orders.start();
+		this.recordWriters.start();
 		this.auditor.start();
 		return this.callers.start()
 			.compose((callerPort) -> this.admin.start()
@@ -228,11 +235,15 @@
 			this.scheduling.stop();
 			this.orders.stop();
 			return this.callers.stop();
-		}).compose((done) -> this.admin.stop()).compose((done) -> this.peers.stop());
+		})
+			.compose((done) -> this.admin.stop())
+			.compose((done) -> this.peers.stop())
+			.onComplete((done) -> this.recordWriters.stop());
 	}
 
 	private void awaitDrained(long deadlineNanos, Promise<Void> drained) {
-		if (this.callers.inProgress() == 0 || System.nanoTime() - deadlineNanos > 0) {
+		if ((this.callers.inProgress() == 0 && this.intents.pendingReports() == 0)
+				|| System.nanoTime() - deadlineNanos > 0) {
 			drained.complete();
 		}
 		else {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/CallerServer.java
@@ -7,6 +7,7 @@
 import io.balsamlane.core.routing.Route;
 import io.balsamlane.router.RouterState;
 import io.balsamlane.router.records.IntentService;
+import io.balsamlane.router.service.ServiceCallHandler;
 import io.balsamlane.schema.Caller;
 import io.balsamlane.schema.EdgeSettings;
 import io.balsamlane.schema.Settings;
@@ -70,8 +71,7 @@
 		String host = this.settings.getNode().getHost();
 		this.requestIdPrefix = host + "-" + Long.toString(incarnation, 36) + "-";
 		this.connections = new ConnectionWatch(this.vertx, this.settings.getEdge().getIdleTimeoutMillis());
-		this.services = new ServiceCallHandler(this.vertx, intents, path.timeline(), host,
-				this.settings.getRecords().getMaxAnswerBytes());
+		this.services = ServiceCallHandler.create(this.vertx, this.settings, intents, path.timeline());
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/metrics/MeteredPlatformStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/MeteredPlatformStore.java
@@ -47,6 +47,14 @@
 					System.nanoTime() - startNanos, !(write instanceof StoreWrite.Undecided)));
 	}
 
+	@Override
+	public Future<StoreWrite> delete(String key) {
+		long startNanos = System.nanoTime();
+		return this.store.delete(key)
+			.onSuccess((write) -> this.metrics.storeCalled("delete", outcome(write), System.nanoTime() - startNanos,
+					!(write instanceof StoreWrite.Undecided)));
+	}
+
 	@Override
 	public Future<StoreRead> watch(String key, long afterVersion) {
 		return this.store.watch(key, afterVersion)
--- a/balsamlane-router/src/test/java/io/balsamlane/router/configuration/ScriptedStore.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/configuration/ScriptedStore.java
@@ -79,6 +79,11 @@
 		return Future.succeededFuture(new StoreWrite.Written(this.version));
 	}
 
+	@Override
+	public Future<StoreWrite> delete(String key) {
+		throw new UnsupportedOperationException("The configuration is never deleted");
+	}
+
 	@Override
 	public Future<StoreRead> watch(String key, long afterVersion) {
 		return get(key);
