--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -17,6 +17,7 @@
 import io.balsamlane.router.metrics.MeteredGrantService;
 import io.balsamlane.router.metrics.MeteredIntentService;
 import io.balsamlane.router.metrics.MeteredPlatformStore;
+import io.balsamlane.router.metrics.RequestTracker;
 import io.balsamlane.router.metrics.RouterMetrics;
 import io.balsamlane.router.peer.NettyPeerNetwork;
 import io.balsamlane.router.records.SingleKeyIntentService;
@@ -99,6 +100,7 @@
 		this.metrics.router(() -> this.state.routes().revision(), this.callers::inProgress,
 				() -> this.state.ready() ? 1 : 0);
 		this.scheduling.registerMetrics(this.metrics);
+		this.timeline.setListener(RequestTracker.create(this.metrics));
 		this.timeline.setMetric(this.metrics.ring("timeline", settings.getTimeline().getCapacityEvents()));
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/metrics/Metric.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/Metric.java
@@ -11,7 +11,7 @@
 
 	FIRST_TOKEN_SECONDS("summary", "Time from a model request to its first token"),
 
-	BETWEEN_TOKENS_SECONDS("summary", "Time between two tokens of an answer"),
+	BETWEEN_TOKENS_SECONDS("summary", "Mean time between the tokens of an answer, one value for each answer"),
 
 	GRANTS_TOTAL("counter", "Decisions on model requests: granted, or the kind of the refusal"),
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/metrics/RouterMetrics.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/metrics/RouterMetrics.java
@@ -62,10 +62,10 @@
 	}
 
 	/**
-	 * Reports a further token of an answer.
-	 * @param nanos time since the token before, in nanoseconds
+	 * Reports the pace of a finished answer.
+	 * @param nanos mean time between its tokens, in nanoseconds
 	 */
-	public void tokenSent(long nanos) {
+	public void tokensSent(long nanos) {
 		this.betweenTokens.update(nanos);
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/timeline/Timeline.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/timeline/Timeline.java
@@ -36,6 +36,9 @@
 
 	private volatile RingMetric metric;
 
+	private volatile TimelineListener listener = (kind, requestId, detail) -> {
+	};
+
 	private int next;
 
 	private long recorded;
@@ -65,6 +68,14 @@
 		this.metric = metric;
 	}
 
+	/**
+	 * Sets who hears of each event.
+	 * @param listener the listener; it must not block
+	 */
+	public void setListener(TimelineListener listener) {
+		this.listener = listener;
+	}
+
 	/**
 	 * Records an event.
 	 * @param kind what happened
@@ -98,6 +109,7 @@
 				this.metric.observe((int) this.recorded);
 			}
 		}
+		this.listener.recorded(kind, requestId, detail);
 	}
 
 	/**
--- a/balsamlane-router/src/test/java/io/balsamlane/router/metrics/RouterMetricsTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/metrics/RouterMetricsTests.java
@@ -2,6 +2,7 @@
 
 import java.util.stream.IntStream;
 
+import io.balsamlane.schema.EventKind;
 import org.approvaltests.Approvals;
 import org.junit.jupiter.api.Test;
 
@@ -20,7 +21,7 @@
 		metrics.requestEnded("completed");
 		metrics.requestEnded("odd \"kind\" \\ with\nlines");
 		metrics.firstTokenSent(250_000_000);
-		metrics.tokenSent(20_000_000);
+		metrics.tokensSent(20_000_000);
 		metrics.grantDecided("granted");
 		metrics.retried("attempt");
 		metrics.recordDecided("created");
@@ -43,4 +44,22 @@
 			.contains("balsamlane_requests_total{outcome=\"other\"} 9936");
 	}
 
+	@Test
+	void requestsAreCountedFromTheirEvents() {
+		RouterMetrics metrics = RouterMetrics.create();
+		RequestTracker tracker = RequestTracker.create(metrics);
+		tracker.recorded(EventKind.REQUEST_ACCEPTED, "r1", "model m");
+		tracker.recorded(EventKind.FIRST_TOKEN_SENT, "r1", "");
+		tracker.recorded(EventKind.REQUEST_FINISHED, "r1", "24 tokens");
+		tracker.recorded(EventKind.REQUEST_ACCEPTED, "r2", "model m");
+		tracker.recorded(EventKind.REQUEST_REFUSED, "r2", "no-engine");
+		tracker.recorded(EventKind.REQUEST_ACCEPTED, "r3", "model m");
+		tracker.recorded(EventKind.REQUEST_CANCELLED, "r3", "caller closed its connection after 0 tokens");
+		assertThat(metrics.text()).contains("requests_total{outcome=\"completed\"} 1\n")
+			.contains("requests_total{outcome=\"no-engine\"} 1\n")
+			.contains("requests_total{outcome=\"cancelled\"} 1\n")
+			.contains("first_token_seconds_count 1\n")
+			.contains("between_tokens_seconds_count 1\n");
+	}
+
 }
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/StandInMain.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/StandInMain.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 import io.balsamlane.standin.engine.EngineStandIn;
@@ -17,6 +18,7 @@
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
 
 /**
  * Runs stand-ins of one kind as a process of its own and prints their ports, one line
@@ -35,6 +37,15 @@
 	 */
 	public static void main(String[] args) throws Exception {
 		Options options = StandInOptions.all();
+		if (List.of(args).contains("--help")) {
+			HelpFormatter.builder().get().printHelp("stand-in store|hosts|engine|service", "", options, "", true);
+			return;
+		}
+		if (List.of(args).contains("--version")) {
+			String version = StandInMain.class.getPackage().getImplementationVersion();
+			System.out.println("stand-in " + ((version != null) ? version : "development"));
+			return;
+		}
 		CommandLine line = parse(options, args);
 		Vertx vertx = Vertx.vertx();
 		int count = Integer.parseInt(line.getOptionValue("count", "1"));
