--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/AdminServer.java
@@ -64,7 +64,7 @@
 		this.settings = settings;
 		this.access = OperatorAccess.of(settings.getPeer());
 		this.parts = parts;
-		this.configuration = new ConfigurationHandlers(parts);
+		this.configuration = new ConfigurationHandlers(settings.getNode(), parts);
 		this.status = new StatusHandlers(settings, parts);
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/ConfigurationHandlers.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/ConfigurationHandlers.java
@@ -1,20 +1,26 @@
 package io.balsamlane.router.admin;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import com.google.protobuf.util.JsonFormat;
 import io.balsamlane.core.configuration.ConfigurationEditor;
 import io.balsamlane.core.configuration.EditResult;
 import io.balsamlane.core.model.BackendServer;
+import io.balsamlane.core.model.Place;
+import io.balsamlane.core.routing.Explanation;
 import io.balsamlane.core.routing.Route;
-import io.balsamlane.core.routing.RouteTable;
+import io.balsamlane.core.routing.RouteExplainer;
 import io.balsamlane.router.configuration.SubmitResult;
 import io.balsamlane.schema.Caller;
 import io.balsamlane.schema.Change;
 import io.balsamlane.schema.Configuration;
+import io.balsamlane.schema.NodeSettings;
 import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -26,9 +32,12 @@
  */
 final class ConfigurationHandlers {
 
+	private final NodeSettings node;
+
 	private final OperatorParts parts;
 
-	ConfigurationHandlers(OperatorParts parts) {
+	ConfigurationHandlers(NodeSettings node, OperatorParts parts) {
+		this.node = node;
 		this.parts = parts;
 	}
 
@@ -80,11 +89,11 @@
 		Configuration before = this.parts.configuration().applied();
 		if (change.getObjectsCount() == 0) {
 			return OperatorAnswer.json(200, new JsonObject().put("revision", before.getRevision())
-				.put("selectors", SelectorReach.of(this.parts.hosts().get()).compare(before, before)));
+				.put("selectors", ReachComparison.of(this.parts.hosts().get()).compare(before, before)));
 		}
 		EditResult result = ConfigurationEditor.apply(before, change, System.currentTimeMillis());
 		if (result instanceof EditResult.Edited edited) {
-			SelectorReach reach = SelectorReach.of(this.parts.hosts().get());
+			ReachComparison reach = ReachComparison.of(this.parts.hosts().get());
 			return OperatorAnswer.json(200, new JsonObject().put("revision", before.getRevision())
 				.put("selectors", reach.compare(before, edited.configuration())));
 		}
@@ -149,14 +158,23 @@
 	Future<OperatorAnswer> explain(HttpServerRequest request) {
 		String model = request.getParam("model", "");
 		String service = request.getParam("service", "");
+		String selector = request.getParam("selector", "");
 		String callerName = request.getParam("caller", "");
-		if (model.isEmpty() == service.isEmpty()) {
+		if (Stream.of(model, service, selector).filter((name) -> !name.isEmpty()).count() != 1) {
 			return Future.succeededFuture(OperatorAnswer.error(400, "malformed-query",
-					"The query names neither or both of model and service", "Name one of them"));
-		}
-		RouteTable routes = this.parts.state().routes();
-		Optional<Caller> caller = routes.configuration()
-			.getCallersList()
+					"The query names none or several of model, service and selector", "Name one of them"));
+		}
+		Configuration configuration = this.parts.state().routes().configuration();
+		RouteExplainer explainer = RouteExplainer.of(configuration, this.parts.hosts().get(),
+				Place.of(this.node.getPlace()), this.node.getRegion());
+		if (!selector.isEmpty()) {
+			return Future.succeededFuture(explainer.selector(selector)
+				.map((explanation) -> OperatorAnswer.json(200, verdicts(explanation)))
+				.orElseGet(() -> OperatorAnswer.error(404, "unknown-selector",
+						"No selector has the name \"" + selector + "\"",
+						"Check the name with balsamlanectl get selector")));
+		}
+		Optional<Caller> caller = configuration.getCallersList()
 			.stream()
 			.filter((candidate) -> candidate.getName().equals(callerName))
 			.findFirst();
@@ -165,8 +183,31 @@
 					"No caller has the name \"" + callerName + "\"", "Check the name with balsamlanectl get caller"));
 		}
 		Caller known = caller.orElse(Caller.getDefaultInstance());
-		Route route = model.isEmpty() ? routes.serviceRoute(known, service) : routes.modelRoute(known, model);
-		return Future.succeededFuture(OperatorAnswer.json(200, json(route).put("revision", routes.revision())));
+		Explanation explanation = model.isEmpty() ? explainer.service(known, service) : explainer.model(known, model);
+		return Future.succeededFuture(OperatorAnswer.json(200,
+				json(explanation.route()).put("revision", configuration.getRevision()).mergeIn(verdicts(explanation))));
+	}
+
+	private static JsonObject verdicts(Explanation explanation) {
+		JsonArray selectors = new JsonArray();
+		explanation.selectors()
+			.forEach((verdict) -> selectors
+				.add(verdict.selector() + ": " + verdict.decision().name().toLowerCase(Locale.ROOT).replace('_', ' ')
+						+ failed(verdict.failedTerms())));
+		JsonArray targets = new JsonArray();
+		explanation.targets().forEach((target) -> {
+			String name = target.kind() + " " + target.name();
+			targets.add(name + (target.failedTerms().isEmpty() ? ": selected" : ": not selected")
+					+ failed(target.failedTerms()));
+			target.servers()
+				.forEach((server) -> targets.add(name + ", " + server.server()
+						+ (server.reachable() ? ": reachable" : ": not reachable (" + server.reason() + ")")));
+		});
+		return new JsonObject().put("selectors", selectors).put("targets", targets);
+	}
+
+	private static String failed(List<String> terms) {
+		return terms.isEmpty() ? "" : ", fails " + String.join("; ", terms);
 	}
 
 	private static JsonObject json(Route route) {
