--- /dev/null
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingConfiguration.java
@@ -0,0 +1,102 @@
+package io.balsamlane.core.forwarding;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * An accepted version of the routes, services and limits. Immutable.
+ */
+public final class ForwardingConfiguration {
+
+	private final long version;
+
+	private final Map<String, List<ForwardingRoute>> routesByHost;
+
+	private final Map<String, ForwardedService> services;
+
+	private final CallerLimits limits;
+
+	private ForwardingConfiguration(long version, Map<String, List<ForwardingRoute>> routesByHost,
+			Map<String, ForwardedService> services, CallerLimits limits) {
+		this.version = version;
+		this.routesByHost = routesByHost;
+		this.services = services;
+		this.limits = limits;
+	}
+
+	/**
+	 * Creates a configuration.
+	 * @param version its version, above 0
+	 * @param routes the routes
+	 * @param services the services
+	 * @param limits bounds on callers
+	 * @return the configuration
+	 */
+	public static ForwardingConfiguration of(long version, List<ForwardingRoute> routes,
+			List<ForwardedService> services, CallerLimits limits) {
+		if (version < 1) {
+			throw new IllegalArgumentException("Version " + version + " is not above 0");
+		}
+		Comparator<ForwardingRoute> longestFirst = Comparator
+			.comparingInt((ForwardingRoute route) -> route.prefix().length())
+			.reversed();
+		Map<String, List<ForwardingRoute>> byHost = routes.stream()
+			.sorted(longestFirst)
+			.collect(Collectors.groupingBy((route) -> route.host().toLowerCase(Locale.ROOT)));
+		return new ForwardingConfiguration(version, Map.copyOf(byHost),
+				services.stream().collect(Collectors.toUnmodifiableMap(ForwardedService::name, Function.identity())),
+				limits);
+	}
+
+	/**
+	 * Returns the version.
+	 * @return the version, above 0
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the bounds on callers.
+	 * @return the bounds
+	 */
+	public CallerLimits limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Finds the route of a request: the one of the host with the longest prefix.
+	 * @param host value of the Host header, without port
+	 * @param path path of the request, without query
+	 * @return the route, empty if none matches
+	 */
+	public Optional<ForwardingRoute> route(String host, String path) {
+		return this.routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of())
+			.stream()
+			.filter((route) -> path.startsWith(route.prefix()))
+			.findFirst();
+	}
+
+	/**
+	 * Returns a service.
+	 * @param name name of the service
+	 * @return the service, empty if it is unknown
+	 */
+	public Optional<ForwardedService> service(String name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+	/**
+	 * Returns the number of routes.
+	 * @return the routes of all hosts
+	 */
+	public int routeCount() {
+		return this.routesByHost.values().stream().mapToInt(List::size).sum();
+	}
+
+}
--- /dev/null
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -0,0 +1,367 @@
+package io.balsamlane.core.forwarding;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.ServerName;
+
+/**
+ * Places model requests on engines by the expected time to the first event, from this
+ * router's own outstanding work and the work that the other routers report.
+ * <p>
+ * It answers a load in which reading prompts is the bottleneck: a decode engine reads a
+ * prompt itself as long as that costs little time, because it saves the move of the KV
+ * cache; at a crest the prefill engines take the overflow. Not safe for use by several
+ * threads.
+ */
+public final class SharedLoadPlacement {
+
+	/** Reports arrive several times a second; after this time their sender is gone. */
+	private static final long REPORT_LIFE_NANOS = 2_000_000_000L;
+
+	/** Weight of one observation in the learned slowness of an engine. */
+	private static final double SLOWNESS_WEIGHT = 0.3;
+
+	/** An engine is not believed to be more than this much slower than the others. */
+	private static final double MAX_SLOWNESS = 8;
+
+	/** Learned slowness halves its distance to 1 in this time without observation. */
+	private static final double SLOWNESS_HALF_LIFE_NANOS = 4e9;
+
+	/** Time for which an engine that failed gets nothing while others are left. */
+	private static final long AVOID_NANOS = 1_500_000_000L;
+
+	/** Repeated failures double the time of avoidance up to this many times. */
+	private static final int MAX_DOUBLINGS = 3;
+
+	/** Share of an engine's KV cache that placement fills; the rest is for growth. */
+	private static final double KV_FILL = 0.9;
+
+	/** Share of the allowed time that an expected first event may take. */
+	private static final double DEADLINE_SHARE = 0.9;
+
+	/** Shortest time after which a refused caller is asked to come back. */
+	private static final long MIN_RETRY_AFTER_MILLIS = 200;
+
+	private final EngineRates rates;
+
+	private final String region;
+
+	private final String place;
+
+	private final Map<ServerName, OwnWork> own = new HashMap<>();
+
+	private final Map<HostName, Report> reports = new HashMap<>();
+
+	private final Map<ServerName, Observed> observed = new HashMap<>();
+
+	private SharedLoadPlacement(EngineRates rates, String region, String place) {
+		this.rates = rates;
+		this.region = region;
+		this.place = place;
+	}
+
+	/**
+	 * Creates a placement without any work.
+	 * @param rates speeds of engines and paths
+	 * @param region region of this router
+	 * @param place place of this router
+	 * @return the placement
+	 */
+	public static SharedLoadPlacement create(EngineRates rates, String region, String place) {
+		return new SharedLoadPlacement(rates, region, place);
+	}
+
+	/**
+	 * Chooses engines for a request.
+	 * @param engines the engines that the request may reach
+	 * @param limits their size
+	 * @param facts the request
+	 * @param excluded engines that the request has tried
+	 * @param mayMove false if the request must be read where it is generated
+	 * @param remainingMillis time until the caller gives up
+	 * @param nowNanos the monotonic time
+	 * @return the choice
+	 */
+	public EngineChoice choose(Collection<ListedServer> engines, EngineLimits limits, RequestFacts facts,
+			Set<ServerName> excluded, boolean mayMove, long remainingMillis, long nowNanos) {
+		List<ListedServer> decoders = candidates(engines, EngineStage.DECODE, excluded, nowNanos);
+		if (decoders.isEmpty()) {
+			return new EngineChoice.None("no decode engine", MIN_RETRY_AFTER_MILLIS);
+		}
+		List<Option> options = new ArrayList<>();
+		for (ListedServer decode : decoders) {
+			double millis = wholeMillis(decode, facts, nowNanos) + fullMillis(decode, limits, facts, nowNanos);
+			options.add(new Option(new EngineChoice.Whole(decode, millis), millis,
+					millis + remotePenalty(decode, this.region)));
+		}
+		if (mayMove && facts.promptTokens() > 0) {
+			for (ListedServer prefill : candidates(engines, EngineStage.PREFILL, excluded, nowNanos)) {
+				decoders.forEach((decode) -> options.add(split(prefill, decode, limits, facts, nowNanos)));
+			}
+		}
+		Option best = options.stream().min(Comparator.comparingDouble(Option::cost)).orElseThrow();
+		if (best.millis() > remainingMillis * DEADLINE_SHARE) {
+			return new EngineChoice.None("first event expected after " + Math.round(best.millis()) + " ms",
+					Math.max(MIN_RETRY_AFTER_MILLIS, Math.round(best.millis() - remainingMillis * DEADLINE_SHARE)));
+		}
+		return best.choice();
+	}
+
+	private List<ListedServer> candidates(Collection<ListedServer> engines, EngineStage stage, Set<ServerName> excluded,
+			long nowNanos) {
+		List<ListedServer> of = engines.stream()
+			.filter((engine) -> engine.stage() == stage && !excluded.contains(engine.name()))
+			.toList();
+		List<ListedServer> sound = of.stream().filter((engine) -> !observed(engine.name()).avoided(nowNanos)).toList();
+		return sound.isEmpty() ? of : sound;
+	}
+
+	private double wholeMillis(ListedServer decode, RequestFacts facts, long nowNanos) {
+		double rate = this.rates.prefillTokensPerMilli() / this.rates.decodeSlowdown();
+		return roundTrip(decode, this.region, this.place) + this.rates.setupMillis()
+				+ (work(decode.name(), nowNanos).pendingTokens() + facts.promptTokens()) / rate
+						* observed(decode.name()).slowness(nowNanos);
+	}
+
+	private Option split(ListedServer prefill, ListedServer decode, EngineLimits limits, RequestFacts facts,
+			long nowNanos) {
+		double read = (work(prefill.name(), nowNanos).pendingTokens() + facts.promptTokens())
+				/ this.rates.prefillTokensPerMilli() * observed(prefill.name()).slowness(nowNanos);
+		int distance = distance(prefill, decode.server().region(), decode.server().place().value());
+		double move = limits.transferMillis(facts.promptTokens()) * ((distance == 0) ? 1 : (distance == 1) ? 2 : 10)
+				+ roundTrip(prefill, decode.server().region(), decode.server().place().value());
+		double millis = roundTrip(prefill, this.region, this.place) + roundTrip(decode, this.region, this.place)
+				+ 2 * this.rates.setupMillis() + read + move + fullMillis(decode, limits, facts, nowNanos);
+		double penalty = this.rates.transferPenaltyMillis() * (1 + distance) + remotePenalty(prefill, this.region)
+				+ remotePenalty(decode, this.region);
+		return new Option(new EngineChoice.Split(prefill, decode, millis), millis, millis + penalty);
+	}
+
+	/** Expected wait for memory or a slot of a decode engine that is full. */
+	private double fullMillis(ListedServer decode, EngineLimits limits, RequestFacts facts, long nowNanos) {
+		EngineWork work = work(decode.name(), nowNanos);
+		long needed = work.kvTokens() + facts.promptTokens() + facts.maxOutputTokens();
+		boolean full = (limits.kvTokens() > 0 && needed > limits.kvTokens() * KV_FILL)
+				|| (limits.slots() > 0 && work.requests() >= limits.slots());
+		// A request leaves after reading and generating, about as long as reading alone.
+		return full ? facts.promptTokens() / this.rates.prefillTokensPerMilli() * 2 * this.rates.decodeSlowdown() : 0;
+	}
+
+	private double remotePenalty(ListedServer engine, String from) {
+		return engine.server().region().equals(from) ? 0 : this.rates.remotePenaltyMillis();
+	}
+
+	private static int distance(ListedServer engine, String region, String place) {
+		if (!engine.server().region().equals(region)) {
+			return 2;
+		}
+		return engine.server().place().value().equals(place) ? 0 : 1;
+	}
+
+	private double roundTrip(ListedServer engine, String fromRegion, String fromPlace) {
+		return switch (distance(engine, fromRegion, fromPlace)) {
+			case 0 -> 0;
+			case 1 -> this.rates.placeRoundTripMillis();
+			default -> this.rates.regionRoundTripMillis();
+		};
+	}
+
+	/**
+	 * Returns the work on an engine as far as this router knows.
+	 * @param engine the engine
+	 * @param nowNanos the monotonic time
+	 * @return own work and the work of routers whose reports are fresh
+	 */
+	public EngineWork work(ServerName engine, long nowNanos) {
+		EngineWork sum = Optional.ofNullable(this.own.get(engine)).map(OwnWork::work).orElse(EngineWork.NONE);
+		for (Report report : this.reports.values()) {
+			if (nowNanos - report.receivedNanos() < REPORT_LIFE_NANOS) {
+				sum = sum.plus(report.work().getOrDefault(engine, EngineWork.NONE));
+			}
+		}
+		return sum;
+	}
+
+	/**
+	 * Takes over what another router reports of its own work.
+	 * @param host the router
+	 * @param work its outstanding work by engine; engines without work are left out
+	 * @param nowNanos the monotonic time
+	 */
+	public void reported(HostName host, Map<ServerName, EngineWork> work, long nowNanos) {
+		this.reports.values().removeIf((report) -> nowNanos - report.receivedNanos() >= REPORT_LIFE_NANOS);
+		this.reports.put(host, new Report(Map.copyOf(work), nowNanos));
+	}
+
+	/**
+	 * Returns this router's own outstanding work.
+	 * @return the work by engine; engines without work are left out
+	 */
+	public Map<ServerName, EngineWork> ownWork() {
+		Map<ServerName, EngineWork> work = new HashMap<>();
+		this.own.forEach((engine, state) -> work.put(engine, state.work()));
+		return work;
+	}
+
+	/**
+	 * Notes that a prompt is to be read on an engine.
+	 * @param engine the engine
+	 * @param pendingTokens tokens that it reads, 0 if the KV cache comes from elsewhere
+	 * @param kvTokens tokens of KV cache that the request holds at most
+	 * @return the work, to be told what happens
+	 */
+	public Ticket started(ListedServer engine, long pendingTokens, long kvTokens) {
+		Ticket ticket = new Ticket(engine.name(), pendingTokens, kvTokens);
+		this.own.computeIfAbsent(engine.name(), (key) -> new OwnWork()).add(pendingTokens, 1, kvTokens);
+		return ticket;
+	}
+
+	/**
+	 * Notes how long an engine took in relation to what was expected.
+	 * @param engine the engine
+	 * @param expectedMillis the expected time
+	 * @param actualMillis the time that it took
+	 * @param nowNanos the monotonic time
+	 */
+	public void took(ServerName engine, double expectedMillis, double actualMillis, long nowNanos) {
+		observed(engine).took(actualMillis / Math.max(1, expectedMillis), nowNanos);
+	}
+
+	/**
+	 * Notes that an engine failed a request.
+	 * @param engine the engine
+	 * @param nowNanos the monotonic time
+	 */
+	public void failed(ServerName engine, long nowNanos) {
+		observed(engine).failed(nowNanos);
+	}
+
+	/**
+	 * Forgets what was observed of an engine, which was started again or is gone.
+	 * @param engine the engine
+	 */
+	public void forget(ServerName engine) {
+		this.observed.remove(engine);
+	}
+
+	private Observed observed(ServerName engine) {
+		return this.observed.computeIfAbsent(engine, (key) -> new Observed());
+	}
+
+	private record Option(EngineChoice choice, double millis, double cost) {
+	}
+
+	private record Report(Map<ServerName, EngineWork> work, long receivedNanos) {
+	}
+
+	/**
+	 * Work of one request on one engine. Its methods may be called several times.
+	 */
+	public final class Ticket {
+
+		private final ServerName engine;
+
+		private final long kvTokens;
+
+		private long pendingTokens;
+
+		private boolean ended;
+
+		Ticket(ServerName engine, long pendingTokens, long kvTokens) {
+			this.engine = engine;
+			this.pendingTokens = pendingTokens;
+			this.kvTokens = kvTokens;
+		}
+
+		/**
+		 * Notes that the prompt has been read.
+		 */
+		public void read() {
+			OwnWork work = SharedLoadPlacement.this.own.get(this.engine);
+			if (work != null) {
+				work.add(-this.pendingTokens, 0, 0);
+			}
+			this.pendingTokens = 0;
+		}
+
+		/**
+		 * Notes that the engine no longer works on the request.
+		 */
+		public void end() {
+			read();
+			if (this.ended) {
+				return;
+			}
+			this.ended = true;
+			OwnWork work = SharedLoadPlacement.this.own.get(this.engine);
+			work.add(0, -1, -this.kvTokens);
+			if (work.requests == 0) {
+				SharedLoadPlacement.this.own.remove(this.engine);
+			}
+		}
+
+	}
+
+	private static final class OwnWork {
+
+		private long pendingTokens;
+
+		private int requests;
+
+		private long kvTokens;
+
+		void add(long pending, int count, long kv) {
+			this.pendingTokens += pending;
+			this.requests += count;
+			this.kvTokens += kv;
+		}
+
+		EngineWork work() {
+			return new EngineWork(this.pendingTokens, this.requests, this.kvTokens);
+		}
+
+	}
+
+	private static final class Observed {
+
+		private double slowness = 1;
+
+		private long slownessNanos;
+
+		private int failures;
+
+		private long avoidUntilNanos;
+
+		void took(double ratio, long nowNanos) {
+			double bounded = Math.min(MAX_SLOWNESS, Math.max(1 / MAX_SLOWNESS, ratio));
+			this.slowness = slowness(nowNanos) + SLOWNESS_WEIGHT * (bounded - slowness(nowNanos));
+			this.slownessNanos = nowNanos;
+			this.failures = 0;
+		}
+
+		double slowness(long nowNanos) {
+			double halves = (nowNanos - this.slownessNanos) / SLOWNESS_HALF_LIFE_NANOS;
+			return 1 + (this.slowness - 1) * Math.pow(0.5, Math.max(0, halves));
+		}
+
+		void failed(long nowNanos) {
+			int doublings = Math.min(this.failures, MAX_DOUBLINGS);
+			this.failures++;
+			this.avoidUntilNanos = nowNanos + (AVOID_NANOS << doublings);
+		}
+
+		boolean avoided(long nowNanos) {
+			return this.failures > 0 && nowNanos - this.avoidUntilNanos < 0;
+		}
+
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/ErrorKind.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/ErrorKind.java
@@ -70,6 +70,30 @@
 	/** Engines failed in every attempt. */
 	ATTEMPTS_EXHAUSTED(503, "Send the request again after the given time"),
 
+	/** No route of the configuration matches host and path. */
+	UNKNOWN_ROUTE(404, "Check host and path, or ask an operator to add a route"),
+
+	/** This router has no configuration or no list of servers yet. */
+	NOT_CONFIGURED(503, "Send the request again after the given time"),
+
+	/** The request lacks a header that the platform requires. */
+	MISSING_HEADER(400, "Send the request id that the platform requires"),
+
+	/** No server of the service takes requests. */
+	NO_SERVER(503, "Send the request again after the given time"),
+
+	/** Every server that was asked refused to run the request. */
+	SERVERS_FULL(503, "Send the request again after the given time"),
+
+	/**
+	 * The server broke the connection or sent an invalid answer; the request may have
+	 * run.
+	 */
+	SERVER_BROKE(502, "Find out whether the request ran before it is sent again"),
+
+	/** No answer came within the time limit; the request may have run. */
+	TIMED_OUT(504, "Find out whether the request ran before it is sent again"),
+
 	/** The request crashed two backend servers that ran it. */
 	QUARANTINED(422, "Change the request: two backend servers died while they ran it");
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
@@ -1,5 +1,8 @@
 package io.balsamlane.router.edge;
 
+import java.util.Locale;
+import java.util.function.IntFunction;
+
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonObject;
 
@@ -42,11 +45,26 @@
 		return new Refusal(status, kind, ran, detail, "Send the request again after the given time", retryAfterMillis);
 	}
 
-	static Refusal of(ErrorKind kind, Ran ran, String detail) {
+	/**
+	 * Creates an answer with the status and remedy of its kind.
+	 * @param kind the kind of the error
+	 * @param ran whether the request ran
+	 * @param detail what went wrong
+	 * @return the answer
+	 */
+	public static Refusal of(ErrorKind kind, Ran ran, String detail) {
 		return new Refusal(kind.status(), kind.text(), ran, detail, kind.remedy(), 0);
 	}
 
-	static Refusal withRetry(ErrorKind kind, Ran ran, String detail, int retryAfterMillis) {
+	/**
+	 * Creates an answer of a kind to a request that makes sense again after a time.
+	 * @param kind the kind of the error
+	 * @param ran whether the request ran
+	 * @param detail what went wrong
+	 * @param retryAfterMillis the time, in milliseconds
+	 * @return the answer
+	 */
+	public static Refusal withRetry(ErrorKind kind, Ran ran, String detail, int retryAfterMillis) {
 		return new Refusal(kind.status(), kind.text(), ran, detail, kind.remedy(), retryAfterMillis);
 	}
 
@@ -95,11 +113,24 @@
 	 * @param response the response to complete
 	 */
 	public void send(HttpServerResponse response) {
+		send(response, (millis) -> Integer.toString((millis + 999) / 1000));
+	}
+
+	/**
+	 * Sends the answer to callers who read fractions of a second in {@code Retry-After},
+	 * unless the response has ended.
+	 * @param response the response to complete
+	 */
+	public void sendWithFraction(HttpServerResponse response) {
+		send(response, (millis) -> String.format(Locale.ROOT, "%.3f", millis / 1000.0));
+	}
+
+	private void send(HttpServerResponse response, IntFunction<String> retryAfter) {
 		if (response.ended() || response.closed() || response.headWritten()) {
 			return;
 		}
 		if (this.retryAfterMillis > 0) {
-			response.putHeader("Retry-After", Integer.toString((this.retryAfterMillis + 999) / 1000));
+			response.putHeader("Retry-After", retryAfter.apply(this.retryAfterMillis));
 		}
 		response.setStatusCode(this.status)
 			.putHeader("content-type", "application/problem+json")
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/DecisionLog.java
@@ -0,0 +1,156 @@
+package io.balsamlane.router.forwarding;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+
+import io.vertx.core.json.JsonObject;
+import org.jctools.queues.MpscArrayQueue;
+
+/**
+ * Writes one JSON line for each decision, on a thread of its own. A line that finds the
+ * ring full, or its kind over the rate, is left out and counted; the caller never waits.
+ */
+public final class DecisionLog {
+
+	/** Lines that wait for the writer; at 300 bytes a line about 600 KB. */
+	private static final int RING_LINES = 2048;
+
+	/** Lines of one kind in a second; ten times the requests of a busy host. */
+	private static final int LINES_PER_KIND_AND_SECOND = 200;
+
+	private static final long WRITER_PAUSE_NANOS = 50_000_000L;
+
+	private final MpscArrayQueue<String> ring = new MpscArrayQueue<>(RING_LINES);
+
+	private final AtomicLong dropped = new AtomicLong();
+
+	private final Map<String, Integer> linesOfSecond = new HashMap<>();
+
+	private final Map<String, Integer> suppressed = new HashMap<>();
+
+	private final String host;
+
+	private final PrintStream out;
+
+	private final Thread writer = new Thread(this::write, "decision-log");
+
+	private long second;
+
+	private volatile boolean stopped;
+
+	private DecisionLog(String host, PrintStream out) {
+		this.host = host;
+		this.out = out;
+		this.writer.setDaemon(true);
+	}
+
+	/**
+	 * Creates a log.
+	 * @param host host of this process, written with each line
+	 * @param out receives the lines
+	 * @return the log
+	 */
+	public static DecisionLog create(String host, PrintStream out) {
+		return new DecisionLog(host, out);
+	}
+
+	/**
+	 * Starts the writer.
+	 */
+	public void start() {
+		this.writer.start();
+	}
+
+	/**
+	 * Writes what waits and stops.
+	 */
+	public void stop() {
+		this.stopped = true;
+		LockSupport.unpark(this.writer);
+		try {
+			this.writer.join(1000);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Logs a decision.
+	 * @param event kind of the decision, a constant text
+	 * @param requestId the request, empty if it touches none
+	 * @param fields names and values in turn: what decided it, and the outcome
+	 */
+	public void log(String event, String requestId, Object... fields) {
+		if (!admit(event)) {
+			return;
+		}
+		JsonObject line = line(event);
+		if (!requestId.isEmpty()) {
+			line.put("request", requestId);
+		}
+		for (int index = 0; index + 1 < fields.length; index += 2) {
+			line.put(String.valueOf(fields[index]), value(fields[index + 1]));
+		}
+		offer(line);
+	}
+
+	private static Object value(Object value) {
+		return (value instanceof Number || value instanceof Boolean) ? value : String.valueOf(value);
+	}
+
+	private JsonObject line(String event) {
+		return new JsonObject().put("time", Instant.now().toString()).put("host", this.host).put("event", event);
+	}
+
+	private void offer(JsonObject line) {
+		if (!this.ring.offer(line.encode())) {
+			this.dropped.incrementAndGet();
+		}
+	}
+
+	private synchronized boolean admit(String event) {
+		long now = System.nanoTime() / 1_000_000_000L;
+		if (now != this.second) {
+			this.second = now;
+			this.linesOfSecond.clear();
+			this.suppressed
+				.forEach((kind, count) -> offer(line("log-suppressed").put("kind", kind).put("lines", count)));
+			this.suppressed.clear();
+		}
+		if (this.linesOfSecond.merge(event, 1, Integer::sum) <= LINES_PER_KIND_AND_SECOND) {
+			return true;
+		}
+		this.suppressed.merge(event, 1, Integer::sum);
+		return false;
+	}
+
+	private void write() {
+		while (true) {
+			boolean last = this.stopped;
+			StringBuilder text = new StringBuilder();
+			for (String line = this.ring.poll(); line != null; line = this.ring.poll()) {
+				text.append(line).append('\n');
+			}
+			long lost = this.dropped.getAndSet(0);
+			if (lost > 0) {
+				text.append(line("log-dropped").put("lines", lost).encode()).append('\n');
+			}
+			if (!text.isEmpty()) {
+				byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
+				this.out.write(bytes, 0, bytes.length);
+				this.out.flush();
+			}
+			if (last) {
+				return;
+			}
+			LockSupport.parkNanos(WRITER_PAUSE_NANOS);
+		}
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingParts.java
@@ -0,0 +1,18 @@
+package io.balsamlane.router.forwarding;
+
+import io.vertx.core.Vertx;
+
+/**
+ * What all requests share.
+ *
+ * @param vertx the event loop
+ * @param dialect marks of requests and answers
+ * @param state what this router believes
+ * @param client connections to servers
+ * @param limits times and sizes
+ * @param log receives each decision
+ * @param metrics counters and times
+ */
+record ForwardingParts(Vertx vertx, ForwardingDialect dialect, ForwardingState state, ServerClient client,
+		ForwardingLimits limits, DecisionLog log, ForwardingMetrics metrics) {
+}
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -0,0 +1,409 @@
+package io.balsamlane.router.forwarding;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.balsamlane.core.forwarding.AttemptOutcome;
+import io.balsamlane.core.forwarding.EngineChoice;
+import io.balsamlane.core.forwarding.EngineLimits;
+import io.balsamlane.core.forwarding.EventSplitter;
+import io.balsamlane.core.forwarding.ForwardedService;
+import io.balsamlane.core.forwarding.ForwardingRoute;
+import io.balsamlane.core.forwarding.ListedServer;
+import io.balsamlane.core.forwarding.NextStep;
+import io.balsamlane.core.forwarding.RequestFacts;
+import io.balsamlane.core.forwarding.SharedLoadPlacement;
+import io.balsamlane.core.model.ServerName;
+import io.balsamlane.router.edge.ErrorKind;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+
+/**
+ * A model request: reads its prompt on a prefill engine or where it is generated, and
+ * passes the events of the stream on as whole events, each once and in order. A resumable
+ * stream that breaks off goes on at another engine within the same answer.
+ */
+final class StreamExchange extends ForwardedExchange {
+
+	private static final int OK = 200;
+
+	/** A prefill is given up after this many times the expected time. */
+	private static final double PATIENCE_FACTOR = 4;
+
+	/** Shortest wait for a prefill or a first event before it counts as stuck. */
+	private static final long MIN_PATIENCE_MILLIS = 1200;
+
+	/** Longest pause between events before a resumable stream moves. */
+	private static final long EVENT_PATIENCE_MILLIS = 1200;
+
+	private final Set<ServerName> excluded = new HashSet<>();
+
+	private ServerCall prefillCall;
+
+	private ServerCall decodeCall;
+
+	private SharedLoadPlacement.Ticket prefillTicket;
+
+	private SharedLoadPlacement.Ticket decodeTicket;
+
+	private ListedServer decode;
+
+	private HttpClientResponse stream;
+
+	private EventSplitter splitter;
+
+	private KvCache cache;
+
+	private long attemptNanos;
+
+	private double expectedMillis;
+
+	private long patienceTimer = -1;
+
+	private long lastEventId;
+
+	private boolean headSent;
+
+	private boolean mayMove = true;
+
+	StreamExchange(ForwardingParts parts, HttpServerRequest request, RequestFacts facts, ForwardingRoute route,
+			ForwardedService service, Buffer body, long startNanos) {
+		super(parts, request, facts, route, service, body, startNanos);
+		this.lastEventId = facts.lastEventId();
+	}
+
+	private EngineLimits engineLimits() {
+		return service().engine().orElse(new EngineLimits(0, 0, 0, 0, 0));
+	}
+
+	@Override
+	void attempt() {
+		this.attemptNanos = System.nanoTime();
+		List<ListedServer> usable = parts().state().usable(service().name());
+		EngineChoice choice = parts().state()
+			.engines()
+			.choose(usable, engineLimits(), facts(), this.excluded, this.mayMove, remainingMillis(), this.attemptNanos);
+		if (choice instanceof EngineChoice.Split split) {
+			this.expectedMillis = split.firstEventMillis();
+			prefill(split.prefill(), split.decode());
+		}
+		else if (choice instanceof EngineChoice.Whole whole) {
+			this.expectedMillis = whole.firstEventMillis();
+			decode(whole.decode(), null);
+		}
+		else if (choice instanceof EngineChoice.None none) {
+			log("not-placed", "reason", none.reason(), "usable", usable.size(), "excluded", this.excluded.size(),
+					"list_age_millis", parts().state().serversAgeMillis());
+			refuse(ErrorKind.NO_ENGINE, none.reason(), none.retryAfterMillis());
+		}
+	}
+
+	private void prefill(ListedServer engine, ListedServer then) {
+		logChoice("prefill-chosen", engine,
+				"expected first event after " + Math.round(this.expectedMillis) + " ms, then " + then.name());
+		this.prefillTicket = parts().state().engines().started(engine, facts().promptTokens(), facts().promptTokens());
+		this.prefillCall = new ServerCall(parts(), engine, (answer) -> prefilled(engine, then, answer),
+				(outcome) -> prefillFailed(engine, outcome));
+		watch(() -> {
+			this.prefillCall.cancel();
+			prefillFailed(engine, new AttemptOutcome.Broken("no result in time"));
+		});
+		this.prefillCall.start(request(), facts().requestId(), body(), remainingMillis(),
+				parts().dialect()::prefillOnly);
+	}
+
+	private void prefilled(ListedServer engine, ListedServer then, HttpClientResponse answer) {
+		ServerCall current = this.prefillCall;
+		AnswerBody.read(answer, parts().limits().maxAnswerBytes()).onComplete((read) -> {
+			if (this.prefillCall != current || isDone()) {
+				return;
+			}
+			Optional<String> handle = (read.succeeded() && answer.statusCode() == OK)
+					? parts().dialect().handle(read.result()) : Optional.empty();
+			if (handle.isEmpty()) {
+				current.cancel();
+				prefillFailed(engine, new AttemptOutcome.Broken("status " + answer.statusCode()));
+				return;
+			}
+			this.prefillCall = null;
+			unwatch();
+			endPrefill();
+			parts().metrics().time("prefill", System.nanoTime() - this.attemptNanos);
+			decode(then, new KvCache(engine, handle.get()));
+		});
+	}
+
+	/** A prefill generates nothing, so its failure leaves the request not run. */
+	private void prefillFailed(ListedServer engine, AttemptOutcome outcome) {
+		unwatch();
+		this.prefillCall = null;
+		endPrefill();
+		if (isDone()) {
+			return;
+		}
+		engineFailed(engine, outcome);
+		this.excluded.add(engine.name());
+		boolean again = timeLeft() && (outcome instanceof AttemptOutcome.NotSent
+				|| parts().state().budget(service().name()).take(System.nanoTime()));
+		log("prefill-failed", "server", engine.name(), "outcome", outcome, "again", again);
+		if (again) {
+			this.mayMove = false;
+			attempt();
+		}
+		else {
+			refuse(ErrorKind.SERVERS_FULL, "the prompt could not be read", 0);
+		}
+	}
+
+	private void decode(ListedServer engine, KvCache source) {
+		logChoice("decode-chosen", engine, (source != null) ? "cache of " + source.engine().name()
+				: "expected first event after " + Math.round(this.expectedMillis) + " ms");
+		this.decode = engine;
+		this.cache = source;
+		this.splitter = EventSplitter.create(parts().limits().maxEventBytes());
+		this.stream = null;
+		attempts().started(engine.name());
+		this.excluded.add(engine.name());
+		this.decodeTicket = parts().state()
+			.engines()
+			.started(engine, (source != null) ? 0 : facts().promptTokens(),
+					facts().promptTokens() + facts().maxOutputTokens());
+		this.decodeCall = new ServerCall(parts(), engine, this::streaming, this::decodeEnded);
+		if (route().kind().repeatable()) {
+			watch(() -> stuck("no first event in time"));
+		}
+		this.decodeCall.start(request(), facts().requestId(), body(), remainingMillis(), (headers) -> {
+			if (source != null) {
+				parts().dialect().kvSource(headers, source.engine().server().endpoint(), source.handle());
+			}
+			if (this.lastEventId > facts().lastEventId()) {
+				parts().dialect().resumeAfter(headers, this.lastEventId);
+			}
+		});
+	}
+
+	private void streaming(HttpClientResponse answer) {
+		if (answer.statusCode() != OK) {
+			answeredOtherwise(answer);
+			return;
+		}
+		ServerCall current = this.decodeCall;
+		if (!parts().dialect().signed(answer.headers())) {
+			broken(current, "the answer has no signature");
+			return;
+		}
+		this.stream = answer;
+		answer.request().connection().exceptionHandler((cause) -> broken(current, String.valueOf(cause.getMessage())));
+		answer.exceptionHandler((cause) -> broken(current, String.valueOf(cause.getMessage())));
+		answer.handler((bytes) -> received(current, bytes));
+		answer.endHandler((ended) -> streamEnded(current));
+	}
+
+	private void answeredOtherwise(HttpClientResponse answer) {
+		ServerCall current = this.decodeCall;
+		AnswerBody.read(answer, parts().limits().maxAnswerBytes()).onComplete((read) -> {
+			if (this.decodeCall != current || isDone()) {
+				return;
+			}
+			if (read.failed() || this.headSent) {
+				current.cancel();
+				decodeEnded(new AttemptOutcome.Broken("status " + answer.statusCode()));
+				return;
+			}
+			endDecode();
+			attempts().ended(new AttemptOutcome.Answered(answer.statusCode()), false);
+			if (finish("answered", answer.statusCode())) {
+				sendHead(answer);
+				request().response().end(read.result());
+			}
+		});
+	}
+
+	private void received(ServerCall current, Buffer bytes) {
+		if (this.decodeCall != current || isDone()) {
+			return;
+		}
+		try {
+			this.splitter.feed(bytes.getBytes()).forEach(this::pass);
+		}
+		catch (IllegalArgumentException ex) {
+			broken(current, ex.getMessage());
+			return;
+		}
+		if (route().kind().repeatable() && !isDone()) {
+			watch(EVENT_PATIENCE_MILLIS, () -> stuck("no event in time"));
+		}
+	}
+
+	private void pass(EventSplitter.Event event) {
+		boolean numbered = event.id() != EventSplitter.Event.NO_ID;
+		if (numbered && event.id() <= this.lastEventId) {
+			return;
+		}
+		HttpServerResponse response = request().response();
+		if (!this.headSent) {
+			this.headSent = true;
+			sendHead(this.stream);
+			response.setChunked(true);
+			firstEvent();
+		}
+		if (numbered) {
+			this.lastEventId = event.id();
+		}
+		response.write(Buffer.buffer(event.bytes()));
+		if (response.writeQueueFull()) {
+			HttpClientResponse source = this.stream;
+			source.pause();
+			response.drainHandler((drained) -> source.resume());
+		}
+	}
+
+	private void firstEvent() {
+		long nowNanos = System.nanoTime();
+		double tookMillis = (nowNanos - this.attemptNanos) / 1e6;
+		this.decodeTicket.read();
+		if (this.cache == null) {
+			parts().state().engines().took(this.decode.name(), this.expectedMillis, tookMillis, nowNanos);
+		}
+		parts().metrics().time("first_event", nowNanos - this.attemptNanos);
+		log("first-event", "server", this.decode.name(), "took_millis", Math.round(tookMillis), "expected_millis",
+				Math.round(this.expectedMillis));
+	}
+
+	private void streamEnded(ServerCall current) {
+		if (this.decodeCall != current || isDone()) {
+			return;
+		}
+		if (!this.splitter.atBoundary() || !this.headSent) {
+			broken(current, "the stream ended within an event");
+			return;
+		}
+		unwatch();
+		endDecode();
+		attempts().ended(new AttemptOutcome.Answered(OK), false);
+		if (finish("answered", OK)) {
+			request().response().end();
+		}
+	}
+
+	private void stuck(String reason) {
+		ServerCall current = this.decodeCall;
+		if (current != null) {
+			current.cancel();
+			broken(current, reason);
+		}
+	}
+
+	private void broken(ServerCall current, String reason) {
+		if (this.decodeCall == current && !isDone()) {
+			current.cancel();
+			decodeEnded(new AttemptOutcome.Broken(reason));
+		}
+	}
+
+	private void decodeEnded(AttemptOutcome outcome) {
+		unwatch();
+		ListedServer engine = this.decode;
+		endDecode();
+		if (isDone()) {
+			return;
+		}
+		engineFailed(engine, outcome);
+		NextStep step = attempts().ended(outcome, timeLeft());
+		log("attempt-ended", "server", engine.name(), "outcome", outcome, "next", step, "last_event", this.lastEventId);
+		parts().metrics().count("attempts_failed_total", outcome.getClass().getSimpleName());
+		if (step == NextStep.TRY_AGAIN) {
+			this.mayMove = false;
+			attempt();
+		}
+		else if (step == NextStep.REFUSE) {
+			refuse(ErrorKind.SERVERS_FULL, "the engines that were asked did not run the request", 0);
+		}
+		else {
+			fail(ErrorKind.SERVER_BROKE, "the engine broke the stream off");
+		}
+	}
+
+	private void engineFailed(ListedServer engine, AttemptOutcome outcome) {
+		if (!(outcome instanceof AttemptOutcome.NotRun)) {
+			parts().state().engines().failed(engine.name(), System.nanoTime());
+		}
+	}
+
+	private void endPrefill() {
+		if (this.prefillTicket != null) {
+			this.prefillTicket.end();
+			this.prefillTicket = null;
+		}
+	}
+
+	private void endDecode() {
+		this.decodeCall = null;
+		if (this.decodeTicket != null) {
+			this.decodeTicket.end();
+			this.decodeTicket = null;
+		}
+		if (this.cache != null && !this.headSent) {
+			free(this.cache);
+		}
+		this.cache = null;
+	}
+
+	/** Frees memory that no decode engine has fetched. */
+	private void free(KvCache unused) {
+		parts().client()
+			.open(unused.engine(), HttpMethod.DELETE, parts().dialect().handlePath(unused.handle()))
+			.compose((opened) -> opened.send())
+			.compose((answer) -> answer.body())
+			.onFailure(
+					(cause) -> log("cache-not-freed", "server", unused.engine().name(), "reason", cause.getMessage()));
+	}
+
+	private void watch(Runnable action) {
+		watch(Math.max(MIN_PATIENCE_MILLIS, Math.round(this.expectedMillis * PATIENCE_FACTOR)), action);
+	}
+
+	private void watch(long millis, Runnable action) {
+		unwatch();
+		this.patienceTimer = parts().vertx().setTimer(millis, (id) -> {
+			if (!isDone()) {
+				action.run();
+			}
+		});
+	}
+
+	private void unwatch() {
+		parts().vertx().cancelTimer(this.patienceTimer);
+	}
+
+	@Override
+	void cancel(String reason) {
+		unwatch();
+		if (this.prefillCall != null) {
+			log("prefill-cancelled", "reason", reason);
+			this.prefillCall.cancel();
+			this.prefillCall = null;
+		}
+		if (this.decodeCall != null) {
+			log("attempt-cancelled", "server", this.decode.name(), "reason", reason);
+			this.decodeCall.cancel();
+		}
+		endPrefill();
+		endDecode();
+	}
+
+	/**
+	 * KV cache of a prompt that was read.
+	 *
+	 * @param engine engine that keeps it
+	 * @param handle its name there
+	 */
+	private record KvCache(ListedServer engine, String handle) {
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/ForwardedHeaders.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/ForwardedHeaders.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import io.vertx.core.MultiMap;
@@ -13,7 +14,7 @@
  * Selects the headers that pass through the router: all but those of one connection (RFC
  * 9110, section 7.6.1) and the caller's credentials.
  */
-final class ForwardedHeaders {
+public final class ForwardedHeaders {
 
 	private static final Set<String> OF_CONNECTION = Set.of("connection", "proxy-connection", "keep-alive",
 			"transfer-encoding", "te", "trailer", "upgrade", "expect");
@@ -24,20 +25,24 @@
 	}
 
 	static void copyRequest(MultiMap from, MultiMap to) {
-		Set<String> named = namedByConnection(from);
-		from.forEach((header) -> {
-			String name = header.getKey().toLowerCase(Locale.ROOT);
-			if (passes(name, named) && !OF_ROUTER.contains(name)) {
-				to.add(header.getKey(), header.getValue());
-			}
-		});
+		copyEndToEnd(from, to, (name) -> !OF_ROUTER.contains(name));
 	}
 
 	static void copyAnswer(MultiMap from, MultiMap to) {
+		copyEndToEnd(from, to, (name) -> !name.equals("x-request-id"));
+	}
+
+	/**
+	 * Copies the headers that do not concern one connection only.
+	 * @param from the headers
+	 * @param to receives the headers
+	 * @param selected selects among them by the name in lower case
+	 */
+	public static void copyEndToEnd(MultiMap from, MultiMap to, Predicate<String> selected) {
 		Set<String> named = namedByConnection(from);
 		from.forEach((header) -> {
 			String name = header.getKey().toLowerCase(Locale.ROOT);
-			if (passes(name, named) && !name.equals("x-request-id")) {
+			if (passes(name, named) && selected.test(name)) {
 				to.add(header.getKey(), header.getValue());
 			}
 		});
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
@@ -0,0 +1,191 @@
+package io.balsamlane.router.store;
+
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.vertx.core.Vertx;
+
+/**
+ * Keeps a view of all keys with a prefix up to date: a full read, then watches, and a
+ * full read again after each failure, lost history or pause of the process. Runs on one
+ * event loop.
+ */
+public final class PrefixWatcher {
+
+	private static final long MIN_PAUSE_MILLIS = 100;
+
+	private static final long MAX_PAUSE_MILLIS = 800;
+
+	/**
+	 * Time after the store's return in which entries that lapsed during its outage are
+	 * entered again.
+	 */
+	private static final long RETURN_NANOS = 2_500_000_000L;
+
+	private final Vertx vertx;
+
+	private final PrefixStore store;
+
+	private final String prefix;
+
+	private final long waitMillis;
+
+	private final Listener listener;
+
+	private long pauseMillis = MIN_PAUSE_MILLIS;
+
+	private boolean lost;
+
+	private long returnedNanos = Long.MIN_VALUE;
+
+	private boolean outageSeen;
+
+	private int generation;
+
+	private boolean stopped;
+
+	private PrefixWatcher(Vertx vertx, PrefixStore store, String prefix, long waitMillis, Listener listener) {
+		this.vertx = vertx;
+		this.store = store;
+		this.prefix = prefix;
+		this.waitMillis = waitMillis;
+		this.listener = listener;
+	}
+
+	/**
+	 * Creates a watcher.
+	 * @param vertx the event loop
+	 * @param store the store
+	 * @param prefix the prefix
+	 * @param waitMillis longest time that one watch waits
+	 * @param listener hears of each change
+	 * @return the watcher
+	 */
+	public static PrefixWatcher create(Vertx vertx, PrefixStore store, String prefix, long waitMillis,
+			Listener listener) {
+		return new PrefixWatcher(vertx, store, prefix, waitMillis, listener);
+	}
+
+	/**
+	 * Starts with a full read.
+	 */
+	public void start() {
+		read();
+	}
+
+	/**
+	 * Stops; no call is made from now on.
+	 */
+	public void stop() {
+		this.stopped = true;
+		this.generation++;
+	}
+
+	/**
+	 * Reads everything again, because the view may be stale.
+	 */
+	public void refresh() {
+		this.generation++;
+		read();
+	}
+
+	private void read() {
+		int current = this.generation;
+		this.store.list(this.prefix).onSuccess((result) -> {
+			if (current != this.generation || this.stopped) {
+				return;
+			}
+			if (result instanceof PrefixRead.Listed listed) {
+				reached();
+				this.listener.listed(listed.items(), afterOutage());
+				watch(listed.revision());
+			}
+			else {
+				failed(result);
+			}
+		});
+	}
+
+	private void watch(long revision) {
+		int current = this.generation;
+		this.store.watch(this.prefix, revision, this.waitMillis).onSuccess((result) -> {
+			if (current != this.generation || this.stopped) {
+				return;
+			}
+			if (result instanceof PrefixRead.Changed changed) {
+				reached();
+				this.listener.changed(changed.changes(), afterOutage());
+				watch(changed.revision());
+			}
+			else if (result instanceof PrefixRead.HistoryLost) {
+				read();
+			}
+			else {
+				failed(result);
+			}
+		});
+	}
+
+	private void reached() {
+		if (this.lost) {
+			this.lost = false;
+			this.outageSeen = true;
+			this.returnedNanos = System.nanoTime();
+			this.listener.regained();
+		}
+		this.pauseMillis = MIN_PAUSE_MILLIS;
+	}
+
+	private boolean afterOutage() {
+		return this.outageSeen && System.nanoTime() - this.returnedNanos < RETURN_NANOS;
+	}
+
+	private void failed(PrefixRead result) {
+		if (!this.lost) {
+			this.lost = true;
+			this.listener.lost((result instanceof PrefixRead.Unavailable unavailable) ? unavailable.message()
+					: "unexpected answer");
+		}
+		int current = this.generation;
+		long spread = ThreadLocalRandom.current().nextLong(this.pauseMillis / 2 + 1);
+		this.vertx.setTimer(this.pauseMillis + spread, (id) -> {
+			if (current == this.generation && !this.stopped) {
+				read();
+			}
+		});
+		this.pauseMillis = Math.min(MAX_PAUSE_MILLIS, this.pauseMillis * 2);
+	}
+
+	/**
+	 * Hears of changes.
+	 */
+	public interface Listener {
+
+		/**
+		 * Receives all keys.
+		 * @param items the keys with their values
+		 * @param afterOutage true if the store was away just before
+		 */
+		void listed(List<PrefixRead.Item> items, boolean afterOutage);
+
+		/**
+		 * Receives changes, possibly none.
+		 * @param changes the changes in their order
+		 * @param afterOutage true if the store was away just before
+		 */
+		void changed(List<PrefixRead.Item> changes, boolean afterOutage);
+
+		/**
+		 * Hears that the store cannot be reached.
+		 * @param reason the cause
+		 */
+		void lost(String reason);
+
+		/**
+		 * Hears that the store can be reached again.
+		 */
+		void regained();
+
+	}
+
+}
