--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -11,6 +11,7 @@
 
 import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.ServerName;
+import org.apache.commons.rng.UniformRandomProvider;
 
 /**
  * Places model requests on engines by the expected time to the first event, from this
@@ -41,6 +42,12 @@
 	/** Repeated failures double the time of avoidance up to this many times. */
 	private static final int MAX_DOUBLINGS = 3;
 
+	/** Choices that differ by less than this count as equal. */
+	private static final double SPREAD_MILLIS = 15;
+
+	/** Weight of a running stream against a new one, as an expected delay. */
+	private static final double STREAM_MILLIS = 4;
+
 	/** Share of an engine's KV cache that placement fills; the rest is for growth. */
 	private static final double KV_FILL = 0.9;
 
@@ -62,10 +69,16 @@
 
 	private final Map<ServerName, Observed> observed = new HashMap<>();
 
-	private SharedLoadPlacement(EngineRates rates, String region, String place) {
+	private final UniformRandomProvider random;
+
+	private Runnable workListener = () -> {
+	};
+
+	private SharedLoadPlacement(EngineRates rates, String region, String place, UniformRandomProvider random) {
 		this.rates = rates;
 		this.region = region;
 		this.place = place;
+		this.random = random;
 	}
 
 	/**
@@ -73,10 +86,20 @@
 	 * @param rates speeds of engines and paths
 	 * @param region region of this router
 	 * @param place place of this router
+	 * @param random parts routers that choose at the same moment
 	 * @return the placement
 	 */
-	public static SharedLoadPlacement create(EngineRates rates, String region, String place) {
-		return new SharedLoadPlacement(rates, region, place);
+	public static SharedLoadPlacement create(EngineRates rates, String region, String place,
+			UniformRandomProvider random) {
+		return new SharedLoadPlacement(rates, region, place, random);
+	}
+
+	/**
+	 * Sets who hears that this router's own work has changed.
+	 * @param listener the listener; it must not block
+	 */
+	public void setWorkListener(Runnable listener) {
+		this.workListener = listener;
 	}
 
 	/**
@@ -100,7 +123,7 @@
 		for (ListedServer decode : decoders) {
 			double millis = wholeMillis(decode, facts, nowNanos) + fullMillis(decode, limits, facts, nowNanos);
 			options.add(new Option(new EngineChoice.Whole(decode, millis), millis,
-					millis + remotePenalty(decode, this.region)));
+					millis + remotePenalty(decode, this.region) + delayOfOthers(decode, facts, nowNanos) + spread()));
 		}
 		if (mayMove && facts.promptTokens() > 0) {
 			for (ListedServer prefill : candidates(engines, EngineStage.PREFILL, excluded, nowNanos)) {
@@ -133,15 +156,19 @@
 
 	private Option split(ListedServer prefill, ListedServer decode, EngineLimits limits, RequestFacts facts,
 			long nowNanos) {
+		EngineWork decoding = work(decode.name(), nowNanos);
+		double rate = this.rates.prefillTokensPerMilli() / this.rates.decodeSlowdown();
+		double busy = decoding.pendingTokens() / rate + decoding.requests() * STREAM_MILLIS;
 		double read = (work(prefill.name(), nowNanos).pendingTokens() + facts.promptTokens())
 				/ this.rates.prefillTokensPerMilli() * observed(prefill.name()).slowness(nowNanos);
 		int distance = distance(prefill, decode.server().region(), decode.server().place().value());
 		double move = limits.transferMillis(facts.promptTokens()) * ((distance == 0) ? 1 : (distance == 1) ? 2 : 10)
 				+ roundTrip(prefill, decode.server().region(), decode.server().place().value());
 		double millis = roundTrip(prefill, this.region, this.place) + roundTrip(decode, this.region, this.place)
-				+ 2 * this.rates.setupMillis() + read + move + fullMillis(decode, limits, facts, nowNanos);
+				+ 2 * this.rates.setupMillis() + read + move + busy * observed(decode.name()).slowness(nowNanos)
+				+ fullMillis(decode, limits, facts, nowNanos);
 		double penalty = this.rates.transferPenaltyMillis() * (1 + distance) + remotePenalty(prefill, this.region)
-				+ remotePenalty(decode, this.region);
+				+ remotePenalty(decode, this.region) + spread();
 		return new Option(new EngineChoice.Split(prefill, decode, millis), millis, millis + penalty);
 	}
 
@@ -155,6 +182,16 @@
 		return full ? facts.promptTokens() / this.rates.prefillTokensPerMilli() * 2 * this.rates.decodeSlowdown() : 0;
 	}
 
+	/** What reading a prompt costs the streams of the same engine, which stand still. */
+	private double delayOfOthers(ListedServer decode, RequestFacts facts, long nowNanos) {
+		double readMillis = facts.promptTokens() * this.rates.decodeSlowdown() / this.rates.prefillTokensPerMilli();
+		return readMillis * work(decode.name(), nowNanos).requests();
+	}
+
+	private double spread() {
+		return this.random.nextDouble() * SPREAD_MILLIS;
+	}
+
 	private double remotePenalty(ListedServer engine, String from) {
 		return engine.server().region().equals(from) ? 0 : this.rates.remotePenaltyMillis();
 	}
@@ -221,6 +258,7 @@
 	public Ticket started(ListedServer engine, long pendingTokens, long kvTokens) {
 		Ticket ticket = new Ticket(engine.name(), pendingTokens, kvTokens);
 		this.own.computeIfAbsent(engine.name(), (key) -> new OwnWork()).add(pendingTokens, 1, kvTokens);
+		this.workListener.run();
 		return ticket;
 	}
 
@@ -286,8 +324,9 @@
 		 */
 		public void read() {
 			OwnWork work = SharedLoadPlacement.this.own.get(this.engine);
-			if (work != null) {
+			if (work != null && this.pendingTokens > 0) {
 				work.add(-this.pendingTokens, 0, 0);
+				SharedLoadPlacement.this.workListener.run();
 			}
 			this.pendingTokens = 0;
 		}
@@ -306,6 +345,7 @@
 			if (work.requests == 0) {
 				SharedLoadPlacement.this.own.remove(this.engine);
 			}
+			SharedLoadPlacement.this.workListener.run();
 		}
 
 	}
--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/RejoinTargets.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/RejoinTargets.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.RouterHost;
@@ -51,8 +53,13 @@
 	Map<String, Endpoint> select() {
 		Map<String, Endpoint> missing = new LinkedHashMap<>();
 		this.table.select(MemberEntry::dead).forEach((entry) -> missing.put(entry.host(), entry.endpoint()));
+		// A list that gives only addresses names a seed by its address.
+		Set<Endpoint> present = this.table.select((entry) -> !entry.dead())
+			.stream()
+			.map(MemberEntry::endpoint)
+			.collect(Collectors.toSet());
 		this.seeds.forEach((name, endpoint) -> {
-			if (this.table.find(name).map(MemberEntry::dead).orElse(true)) {
+			if (this.table.find(name).map(MemberEntry::dead).orElse(true) && !present.contains(endpoint)) {
 				missing.put(name, endpoint);
 			}
 		});
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -67,7 +67,7 @@
 	public static ForwardingState create(DecisionLog log, EngineRates rates, String region, String place,
 			long graceNanos, RetryRule retryRule) {
 		return new ForwardingState(log, ServerTable.create(graceNanos, MAX_SERVERS),
-				SharedLoadPlacement.create(rates, region, place), retryRule);
+				SharedLoadPlacement.create(rates, region, place, RandomSource.XO_RO_SHI_RO_128_PP.create()), retryRule);
 	}
 
 	/**
