Streams wait for room on engines; those that can be on time go first

Cause: engines were sent more than their memory holds; they refused after the prompt had been read (531,000 tokens for nothing), and prompts read on decode engines slowed the streams there. A router now counts the memory of all requests by the callers' estimates, lets streams wait until there is room and refuses before callers give up.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/EngineChoice.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/EngineChoice.java
@@ -24,6 +24,14 @@
 	record Split(ListedServer prefill, ListedServer decode, double firstEventMillis) implements EngineChoice {
 	}
 
+	/**
+	 * Every decode engine is full; one may have room soon.
+	 *
+	 * @param engines number of decode engines that were considered
+	 */
+	record Full(int engines) implements EngineChoice {
+	}
+
 	/**
 	 * No engine can answer in time.
 	 *
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -48,8 +48,8 @@
 	/** Weight of a running stream against a new one, as an expected delay. */
 	private static final double STREAM_MILLIS = 4;
 
-	/** Share of an engine's KV cache that placement fills; the rest is for growth. */
-	private static final double KV_FILL = 0.9;
+	/** Share of an engine's KV cache that is left to the routers of its own region. */
+	private static final double REMOTE_FILL_MARGIN = 0.12;
 
 	/** Share of the allowed time that an expected first event may take. */
 	private static final double DEADLINE_SHARE = 0.9;
@@ -109,19 +109,26 @@
 	 * @param facts the request
 	 * @param excluded engines that the request has tried
 	 * @param mayMove false if the request must be read where it is generated
+	 * @param fill share of an engine's KV cache that may be in use afterwards, at most 1
 	 * @param remainingMillis time until the caller gives up
 	 * @param nowNanos the monotonic time
 	 * @return the choice
 	 */
 	public EngineChoice choose(Collection<ListedServer> engines, EngineLimits limits, RequestFacts facts,
-			Set<ServerName> excluded, boolean mayMove, long remainingMillis, long nowNanos) {
-		List<ListedServer> decoders = candidates(engines, EngineStage.DECODE, excluded, nowNanos);
-		if (decoders.isEmpty()) {
+			Set<ServerName> excluded, boolean mayMove, double fill, long remainingMillis, long nowNanos) {
+		List<ListedServer> sound = candidates(engines, EngineStage.DECODE, excluded, nowNanos);
+		if (sound.isEmpty()) {
 			return new EngineChoice.None("no decode engine", MIN_RETRY_AFTER_MILLIS);
 		}
+		List<ListedServer> decoders = sound.stream()
+			.filter((engine) -> hasRoom(engine, limits, facts, fill, nowNanos))
+			.toList();
+		if (decoders.isEmpty()) {
+			return new EngineChoice.Full(sound.size());
+		}
 		List<Option> options = new ArrayList<>();
 		for (ListedServer decode : decoders) {
-			double millis = wholeMillis(decode, facts, nowNanos) + fullMillis(decode, limits, facts, nowNanos);
+			double millis = wholeMillis(decode, facts, nowNanos);
 			options.add(new Option(new EngineChoice.Whole(decode, millis), millis,
 					millis + remotePenalty(decode, this.region) + delayOfOthers(decode, facts, nowNanos) + spread()));
 		}
@@ -165,21 +172,24 @@
 		double move = limits.transferMillis(facts.promptTokens()) * ((distance == 0) ? 1 : (distance == 1) ? 2 : 10)
 				+ roundTrip(prefill, decode.server().region(), decode.server().place().value());
 		double millis = roundTrip(prefill, this.region, this.place) + roundTrip(decode, this.region, this.place)
-				+ 2 * this.rates.setupMillis() + read + move + busy * observed(decode.name()).slowness(nowNanos)
-				+ fullMillis(decode, limits, facts, nowNanos);
+				+ 2 * this.rates.setupMillis() + read + move + busy * observed(decode.name()).slowness(nowNanos);
 		double penalty = this.rates.transferPenaltyMillis() * (1 + distance) + remotePenalty(prefill, this.region)
 				+ remotePenalty(decode, this.region) + spread();
 		return new Option(new EngineChoice.Split(prefill, decode, millis), millis, millis + penalty);
 	}
 
-	/** Expected wait for memory or a slot of a decode engine that is full. */
-	private double fullMillis(ListedServer decode, EngineLimits limits, RequestFacts facts, long nowNanos) {
+	/**
+	 * Tells whether an engine can take a request. Room on engines of other regions is
+	 * left to the routers there, whose view of them is fresher.
+	 */
+	private boolean hasRoom(ListedServer decode, EngineLimits limits, RequestFacts facts, double fill, long nowNanos) {
 		EngineWork work = work(decode.name(), nowNanos);
-		long needed = work.kvTokens() + facts.promptTokens() + facts.maxOutputTokens();
-		boolean full = (limits.kvTokens() > 0 && needed > limits.kvTokens() * KV_FILL)
-				|| (limits.slots() > 0 && work.requests() >= limits.slots());
-		// A request leaves after reading and generating, about as long as reading alone.
-		return full ? facts.promptTokens() / this.rates.prefillTokensPerMilli() * 2 * this.rates.decodeSlowdown() : 0;
+		if (work.requests() == 0) {
+			return true;
+		}
+		double share = decode.server().region().equals(this.region) ? fill : fill - REMOTE_FILL_MARGIN;
+		return (limits.kvTokens() == 0 || work.kvTokens() + facts.kvTokens() <= limits.kvTokens() * share)
+				&& (limits.slots() == 0 || work.requests() < limits.slots());
 	}
 
 	/** What reading a prompt costs the streams of the same engine, which stand still. */
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
@@ -223,6 +223,10 @@
 		return remainingMillis() > MIN_ATTEMPT_MILLIS;
 	}
 
+	final long startNanos() {
+		return this.startNanos;
+	}
+
 	final boolean isDone() {
 		return this.done;
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingParts.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingParts.java
@@ -12,7 +12,8 @@
  * @param limits times and sizes
  * @param log receives each decision
  * @param metrics counters and times
+ * @param waiting streams that wait for room on engines
  */
 record ForwardingParts(Vertx vertx, ForwardingDialect dialect, ForwardingState state, ServerClient client,
-		ForwardingLimits limits, DecisionLog log, ForwardingMetrics metrics) {
+		ForwardingLimits limits, DecisionLog log, ForwardingMetrics metrics, WaitingStreams waiting) {
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -71,9 +71,8 @@
 	public static FrontServer create(Vertx vertx, ForwardingDialect dialect, ForwardingState state, DecisionLog log,
 			ForwardingMetrics metrics, String readyPath) {
 		ForwardingLimits limits = ForwardingLimits.defaults();
-		return new FrontServer(
-				new ForwardingParts(vertx, dialect, state, new ServerClient(vertx, limits), limits, log, metrics),
-				readyPath);
+		return new FrontServer(new ForwardingParts(vertx, dialect, state, new ServerClient(vertx, limits), limits, log,
+				metrics, new WaitingStreams(vertx)), readyPath);
 	}
 
 	/**
@@ -96,6 +95,7 @@
 			.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
 			.requestHandler(this::checked);
 		this.parts.metrics().gauge("requests_in_progress", () -> this.inProgress);
+		this.parts.metrics().gauge("waiting_streams", () -> this.parts.waiting().size());
 		this.parts.metrics().gauge("buffered_bytes", () -> this.bufferedBytes);
 		this.parts.metrics().gauge("list_age_seconds", () -> this.parts.state().serversAgeMillis() / 1e3);
 		return this.callers.listen(front.port(), front.address())
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -41,6 +41,33 @@
 	/** Longest pause between events before a resumable stream moves. */
 	private static final long EVENT_PATIENCE_MILLIS = 1200;
 
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	/** Share of an engine's KV cache that streams may fill. */
+	private static final double FILL = 0.95;
+
+	/** Share that late streams may fill; the rest is kept for those on time. */
+	private static final double LATE_FILL = 0.75;
+
+	/** Time from placing to the first event, without a queue. */
+	private static final long TYPICAL_START_MILLIS = 250;
+
+	/** Time that a stream of middle length takes, left when a wait ends. */
+	private static final long TYPICAL_STREAM_MILLIS = 4000;
+
+	/** How long callers wait for a first event, from the platform's protocol. */
+	private static final long MIN_CALLER_PATIENCE_MILLIS = 2000;
+
+	private static final long TARGETS_OF_PATIENCE = 4;
+
+	private static final long PAUSES_OF_PATIENCE = 8;
+
+	/** Left for the start of a stream when a wait ends: a loaded prefill and paths. */
+	private static final long START_MARGIN_MILLIS = 800;
+
+	/** Time after which a caller who waited in vain finds room more likely. */
+	private static final int RETRY_AFTER_WAIT_MILLIS = 2500;
+
 	private final Set<ServerName> excluded = new HashSet<>();
 
 	private ServerCall prefillCall;
@@ -83,11 +110,61 @@
 
 	@Override
 	void attempt() {
+		// A stream that goes on does not wait behind those that have not begun.
+		boolean behind = !this.headSent && parts().waiting().anyWaiting(service().name());
+		if (behind || !place(this, false)) {
+			await();
+		}
+	}
+
+	private void await() {
+		long targetNanos = startNanos() + (route().targetMillis() - TYPICAL_START_MILLIS) * NANOS_PER_MILLI;
+		long waitedMillis = (System.nanoTime() - startNanos()) / NANOS_PER_MILLI;
+		long longestMillis = Math.min(callerPatienceMillis() - START_MARGIN_MILLIS - waitedMillis,
+				remainingMillis() - TYPICAL_STREAM_MILLIS);
+		long giveUpNanos = System.nanoTime() + Math.max(0, longestMillis) * NANOS_PER_MILLI;
+		log("waiting", "waiting", parts().waiting().size(), "longest_millis", longestMillis);
+		if (longestMillis <= 0
+				|| !parts().waiting().add(service().name(), this, startNanos(), targetNanos, giveUpNanos)) {
+			refuse(ErrorKind.OVERLOADED, "all engines are full", RETRY_AFTER_WAIT_MILLIS);
+		}
+	}
+
+	/** Callers abandon a stream whose first event does not come within this time. */
+	private long callerPatienceMillis() {
+		return Math.max(MIN_CALLER_PATIENCE_MILLIS, Math.max(TARGETS_OF_PATIENCE * route().targetMillis(),
+				PAUSES_OF_PATIENCE * route().pauseTargetMillis()));
+	}
+
+	/**
+	 * Ends a request that has waited for its longest time.
+	 */
+	void waitedInVain() {
+		if (!isDone()) {
+			refuse(ErrorKind.OVERLOADED, "all engines stayed full", RETRY_AFTER_WAIT_MILLIS);
+		}
+	}
+
+	/**
+	 * Sends a stream to an engine that has room.
+	 * @param stream the stream
+	 * @param late true if its first event will be late
+	 * @return false if no engine has room; true if the stream was sent or has ended
+	 */
+	static boolean place(StreamExchange stream, boolean late) {
+		return stream.isDone() || stream.place(late ? LATE_FILL : FILL);
+	}
+
+	private boolean place(double fill) {
 		this.attemptNanos = System.nanoTime();
 		List<ListedServer> usable = parts().state().usable(service().name());
 		EngineChoice choice = parts().state()
 			.engines()
-			.choose(usable, engineLimits(), facts(), this.excluded, this.mayMove, remainingMillis(), this.attemptNanos);
+			.choose(usable, engineLimits(), facts(), this.excluded, this.mayMove, fill, remainingMillis(),
+					this.attemptNanos);
+		if (choice instanceof EngineChoice.Full) {
+			return false;
+		}
 		if (choice instanceof EngineChoice.Split split) {
 			this.expectedMillis = split.firstEventMillis();
 			prefill(split.prefill(), split.decode());
@@ -101,12 +178,17 @@
 					"list_age_millis", parts().state().serversAgeMillis());
 			refuse(ErrorKind.NO_ENGINE, none.reason(), none.retryAfterMillis());
 		}
+		return true;
 	}
 
 	private void prefill(ListedServer engine, ListedServer then) {
 		logChoice("prefill-chosen", engine,
 				"expected first event after " + Math.round(this.expectedMillis) + " ms, then " + then.name());
+		log("request-size", "prompt_tokens", facts().promptTokens(), "max_output_tokens", facts().maxOutputTokens(),
+				"expected_output_tokens", facts().expectedOutputTokens());
 		this.prefillTicket = parts().state().engines().started(engine, facts().promptTokens(), facts().promptTokens());
+		// Reserved before the prompt is read, because its result is kept only shortly.
+		this.decodeTicket = parts().state().engines().started(then, 0, facts().kvTokens());
 		this.prefillCall = new ServerCall(parts(), engine, (answer) -> prefilled(engine, then, answer),
 				(outcome) -> prefillFailed(engine, outcome));
 		watch(() -> {
@@ -143,6 +225,7 @@
 		unwatch();
 		this.prefillCall = null;
 		endPrefill();
+		endDecode();
 		if (isDone()) {
 			return;
 		}
@@ -169,10 +252,9 @@
 		this.stream = null;
 		attempts().started(engine.name());
 		this.excluded.add(engine.name());
-		this.decodeTicket = parts().state()
-			.engines()
-			.started(engine, (source != null) ? 0 : facts().promptTokens(),
-					facts().promptTokens() + facts().maxOutputTokens());
+		if (this.decodeTicket == null) {
+			this.decodeTicket = parts().state().engines().started(engine, facts().promptTokens(), facts().kvTokens());
+		}
 		this.decodeCall = new ServerCall(parts(), engine, this::streaming, this::decodeEnded);
 		if (route().kind().repeatable()) {
 			watch(() -> stuck("no first event in time"));
@@ -384,6 +466,7 @@
 	@Override
 	void cancel(String reason) {
 		unwatch();
+		parts().waiting().remove(service().name(), this);
 		if (this.prefillCall != null) {
 			log("prefill-cancelled", "reason", reason);
 			this.prefillCall.cancel();
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WorkReporter.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WorkReporter.java
@@ -24,7 +24,7 @@
 public final class WorkReporter {
 
 	/** Changes within this time go out together. */
-	private static final long GATHER_MILLIS = 10;
+	private static final long GATHER_MILLIS = 5;
 
 	/** Reports without change keep the others' view of standing work alive. */
 	private static final long REFRESH_MILLIS = 700;
