--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -178,10 +178,8 @@
 		return new Option(new EngineChoice.Split(prefill, decode, millis), millis, millis + penalty);
 	}
 
-	/**
-	 * Tells whether an engine can take a request. Room on engines of other regions is
-	 * left to the routers there, whose view of them is fresher.
-	 */
+	// Tells whether an engine can take a request. Room on engines of other regions is
+	// left to the routers there, whose view of them is fresher.
 	private boolean hasRoom(ListedServer decode, EngineLimits limits, RequestFacts facts, double fill, long nowNanos) {
 		EngineWork work = work(decode.name(), nowNanos);
 		if (work.requests() == 0) {
@@ -192,7 +190,7 @@
 				&& (limits.slots() == 0 || work.requests() < limits.slots());
 	}
 
-	/** What reading a prompt costs the streams of the same engine, which stand still. */
+	// What reading a prompt costs the streams of the same engine, which stand still.
 	private double delayOfOthers(ListedServer decode, RequestFacts facts, long nowNanos) {
 		double readMillis = facts.promptTokens() * this.rates.decodeSlowdown() / this.rates.prefillTokensPerMilli();
 		return readMillis * work(decode.name(), nowNanos).requests();
--- /dev/null
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/SharedLoadPlacementTests.java
@@ -0,0 +1,102 @@
+package io.balsamlane.core.forwarding;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.ServerName;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against engines that get more than they hold, and against prompts that are read
+ * where they slow other streams.
+ */
+class SharedLoadPlacementTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final EngineRates RATES = new EngineRates(33.3, 2.3, 10, 3, 42, 60, 25);
+
+	private static final EngineLimits LIMITS = new EngineLimits(64, 33_770, 18_432, 550_000, 500);
+
+	private final SharedLoadPlacement placement = SharedLoadPlacement.create(RATES, "here", "here",
+			RandomSource.XO_RO_SHI_RO_128_PP.create(7));
+
+	private EngineChoice choose(List<ListedServer> engines, long nowNanos) {
+		return this.placement.choose(engines, LIMITS, ForwardingFixture.facts(3000, 840), Set.of(), true, 0.95, 14_000,
+				nowNanos);
+	}
+
+	@Test
+	void idleDecodeEngineReadsThePromptItself() {
+		EngineChoice choice = choose(
+				List.of(ForwardingFixture.decode("d", "here"), ForwardingFixture.prefill("p", "there")), 0);
+		assertThat(choice).isInstanceOf(EngineChoice.Whole.class);
+	}
+
+	@Test
+	void promptIsReadElsewhereWhenStreamsRunOnTheDecodeEngine() {
+		ListedServer decode = ForwardingFixture.decode("d", "here");
+		this.placement.started(decode, 0, 3500);
+		this.placement.started(decode, 0, 3500);
+		EngineChoice choice = choose(List.of(decode, ForwardingFixture.prefill("p", "here")), 0);
+		assertThat(choice).isInstanceOf(EngineChoice.Split.class);
+	}
+
+	@Test
+	void engineThatIsFullByTheReportsOfOthersGetsNothing() {
+		ListedServer decode = ForwardingFixture.decode("d", "here");
+		this.placement.reported(HostName.of("other"),
+				Map.of(ServerName.of("d"), new EngineWork(0, 9, LIMITS.kvTokens() - 1000)), 0);
+		assertThat(choose(List.of(decode), SECOND)).isEqualTo(new EngineChoice.Full(1));
+		assertThat(choose(List.of(decode), 3 * SECOND)).isInstanceOf(EngineChoice.Whole.class);
+	}
+
+	@Test
+	void roomOnEnginesOfOtherRegionsIsLeftToTheirRouters() {
+		ListedServer near = ForwardingFixture.decode("near", "here");
+		ListedServer far = ForwardingFixture.decode("far", "there");
+		long held = (long) (LIMITS.kvTokens() * 0.95) - ForwardingFixture.facts(3000, 840).kvTokens();
+		this.placement.started(near, 0, held);
+		this.placement.started(far, 0, held);
+		EngineChoice choice = choose(List.of(near, far), 0);
+		assertThat(choice).isInstanceOfSatisfying(EngineChoice.Whole.class,
+				(whole) -> assertThat(whole.decode()).isEqualTo(near));
+		assertThat(choose(List.of(far), 0)).isInstanceOf(EngineChoice.Full.class);
+	}
+
+	@Test
+	void endedWorkLeavesNothingBehind() {
+		SharedLoadPlacement.Ticket ticket = this.placement.started(ForwardingFixture.decode("d", "here"), 3000, 3500);
+		ticket.read();
+		ticket.end();
+		ticket.end();
+		assertThat(this.placement.ownWork()).isEmpty();
+		assertThat(this.placement.work(ServerName.of("d"), 0)).isEqualTo(EngineWork.NONE);
+	}
+
+	@Test
+	void engineThatFailedIsAvoidedWhileOthersAreLeft() {
+		ListedServer broken = ForwardingFixture.decode("broken", "here");
+		ListedServer sound = ForwardingFixture.decode("sound", "there");
+		this.placement.failed(broken.name(), 0);
+		assertThat(choose(List.of(broken, sound), 1)).isInstanceOfSatisfying(EngineChoice.Whole.class,
+				(whole) -> assertThat(whole.decode()).isEqualTo(sound));
+		assertThat(choose(List.of(broken), 1)).isInstanceOf(EngineChoice.Whole.class);
+		assertThat(choose(List.of(broken, sound), 2 * SECOND)).isInstanceOfSatisfying(EngineChoice.Whole.class,
+				(whole) -> assertThat(whole.decode()).isEqualTo(broken));
+	}
+
+	@Test
+	void requestThatCannotStartBeforeItsDeadlineIsNotPlaced() {
+		ListedServer decode = ForwardingFixture.decode("d", "here");
+		EngineChoice choice = this.placement.choose(List.of(decode), LIMITS, ForwardingFixture.facts(3000, 840),
+				Set.of(), true, 0.95, 100, 0);
+		assertThat(choice).isInstanceOf(EngineChoice.None.class);
+	}
+
+}
--- /dev/null
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/WindowedRetryBudgetTests.java
@@ -0,0 +1,52 @@
+package io.balsamlane.core.forwarding;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against more repeated requests in some window than its share allows.
+ */
+class WindowedRetryBudgetTests {
+
+	private static final long WINDOW_NANOS = 1000;
+
+	@Test
+	void budgetReturnsWithTheWindow() {
+		WindowedRetryBudget budget = WindowedRetryBudget.create(0, 1, WINDOW_NANOS);
+		assertThat(budget.take(0)).isTrue();
+		assertThat(budget.take(999)).isFalse();
+		assertThat(budget.take(1000)).isTrue();
+	}
+
+	@Property(seed = "20261204")
+	void anyWindowKeepsItsShare(@ForAll @Size(max = 300) List<@IntRange(max = 60) Integer> pauses) {
+		WindowedRetryBudget budget = WindowedRetryBudget.create(0.2, 3, WINDOW_NANOS);
+		Deque<Long> requests = new ArrayDeque<>();
+		Deque<Long> repeats = new ArrayDeque<>();
+		long now = 0;
+		for (int pause : pauses) {
+			now += pause;
+			long start = now - WINDOW_NANOS;
+			requests.removeIf((time) -> time <= start);
+			repeats.removeIf((time) -> time <= start);
+			if (pause % 2 == 0) {
+				budget.requested(now);
+				requests.add(now);
+			}
+			else if (budget.take(now)) {
+				repeats.add(now);
+				assertThat(repeats.size()).isLessThanOrEqualTo((int) (0.2 * requests.size() + 3));
+			}
+		}
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
@@ -3,6 +3,7 @@
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
 
+import io.balsamlane.core.forwarding.AttemptOutcome;
 import io.balsamlane.core.forwarding.ForwardedService;
 import io.balsamlane.core.forwarding.ForwardingRoute;
 import io.balsamlane.core.forwarding.ListedServer;
@@ -51,6 +52,8 @@
 
 	private final RequestAttempts attempts;
 
+	private final long fingerprint;
+
 	private final long startNanos;
 
 	private final long deadlineNanos;
@@ -67,6 +70,7 @@
 		this.route = route;
 		this.service = service;
 		this.body = body;
+		this.fingerprint = CrashGuard.fingerprint(request, body);
 		this.startNanos = startNanos;
 		long limitMillis = (facts.deadlineMillis() > 0) ? Math.min(facts.deadlineMillis(), route.timeoutMillis())
 				: route.timeoutMillis();
@@ -90,7 +94,7 @@
 	abstract void attempt();
 
 	/**
-	 * Ends what runs at servers for this request.
+	 * Ends what runs at servers for this request, and the present attempt.
 	 * @param reason why, for the log
 	 */
 	abstract void cancel(String reason);
@@ -100,8 +104,8 @@
 	 */
 	final void callerGone() {
 		if (!this.done) {
-			finish("caller-gone", 0);
 			cancel("caller gone");
+			finish("caller-gone", 0);
 		}
 	}
 
@@ -109,9 +113,8 @@
 		if (this.done) {
 			return;
 		}
-		boolean refused = this.attempts.giveUp() == NextStep.REFUSE;
 		cancel("time limit");
-		if (refused) {
+		if (this.attempts.giveUp() == NextStep.REFUSE) {
 			refuse(ErrorKind.DEADLINE, "no server began the request within its time limit", 0);
 		}
 		else {
@@ -215,6 +218,25 @@
 				"list_age_millis", this.parts.state().serversAgeMillis(), "remaining_millis", remainingMillis());
 	}
 
+	/**
+	 * Notes that a connection broke while a server ran the request.
+	 * @param server the server
+	 * @param outcome how the attempt ended
+	 * @param lastEventId last event that the server sent, 0 if none
+	 */
+	final void suspect(ListedServer server, AttemptOutcome outcome, long lastEventId) {
+		if (outcome instanceof AttemptOutcome.Broken) {
+			this.parts.crashes().broke(server, this.fingerprint, lastEventId);
+		}
+	}
+
+	/**
+	 * Notes that a server ran the request to its end.
+	 */
+	final void cleared() {
+		this.parts.crashes().completed(this.fingerprint);
+	}
+
 	final long remainingMillis() {
 		return (this.deadlineNanos - System.nanoTime()) / NANOS_PER_MILLI;
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingParts.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingParts.java
@@ -13,7 +13,9 @@
  * @param log receives each decision
  * @param metrics counters and times
  * @param waiting streams that wait for room on engines
+ * @param crashes finds requests that crash servers
  */
 record ForwardingParts(Vertx vertx, ForwardingDialect dialect, ForwardingState state, ServerClient client,
-		ForwardingLimits limits, DecisionLog log, ForwardingMetrics metrics, WaitingStreams waiting) {
+		ForwardingLimits limits, DecisionLog log, ForwardingMetrics metrics, WaitingStreams waiting,
+		CrashGuard crashes) {
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -36,10 +36,10 @@
 
 	private static final int RETRY_AFTER_MILLIS = 500;
 
-	/** Time in which the balancer notices that this router is not ready: two checks. */
-	private static final long BALANCER_NOTICE_MILLIS = 2500;
+	private static final int UNAVAILABLE = 503;
 
-	private static final long POLL_MILLIS = 50;
+	/** Time in which the balancer notices that this router is not ready: two checks. */
+	private static final long BALANCER_NOTICE_MILLIS = 2600;
 
 	private final ForwardingParts parts;
 
@@ -65,14 +65,15 @@
 	 * @param state what this router believes
 	 * @param log receives each decision
 	 * @param metrics counters and times
+	 * @param crashes finds requests that crash servers
 	 * @param readyPath path of the readiness check
 	 * @return the server
 	 */
 	public static FrontServer create(Vertx vertx, ForwardingDialect dialect, ForwardingState state, DecisionLog log,
-			ForwardingMetrics metrics, String readyPath) {
+			ForwardingMetrics metrics, CrashGuard crashes, String readyPath) {
 		ForwardingLimits limits = ForwardingLimits.defaults();
 		return new FrontServer(new ForwardingParts(vertx, dialect, state, new ServerClient(vertx, limits), limits, log,
-				metrics, new WaitingStreams(vertx)), readyPath);
+				metrics, new WaitingStreams(vertx), crashes), readyPath);
 	}
 
 	/**
@@ -211,6 +212,11 @@
 	private void start(Admission admission, RequestFacts facts, ForwardingRoute route, ForwardedService service,
 			Buffer body, long startNanos) {
 		HttpServerRequest request = admission.request;
+		if (this.parts.crashes().refuses(CrashGuard.fingerprint(request, body))) {
+			refuse(request, new Refusal(UNAVAILABLE, ErrorKind.QUARANTINED.text(), Ran.NO,
+					"servers died while they ran this request", ErrorKind.QUARANTINED.remedy(), 0));
+			return;
+		}
 		admission.exchange = route.kind().streams()
 				? new StreamExchange(this.parts, request, facts, route, service, body, startNanos)
 				: new PlainExchange(this.parts, request, facts, route, service, body, startNanos);
@@ -218,27 +224,19 @@
 	}
 
 	/**
-	 * Lets the balancer take this router out, waits until all requests have ended, and
-	 * closes everything.
+	 * Lets the balancer take this router out, then takes no new requests, waits until
+	 * those in progress have ended, and closes everything. Kept connections are closed as
+	 * soon as they carry no request, so that none arrives when this process ends.
 	 * @param limitMillis longest time for all of it
 	 * @return completes when everything is closed
 	 */
 	public Future<Void> stop(long limitMillis) {
-		long startNanos = System.nanoTime();
 		this.parts.state().drain();
-		return idle(startNanos, limitMillis).compose((idle) -> this.callers.shutdown(0, TimeUnit.SECONDS))
-			.compose((closed) -> this.readiness.shutdown(0, TimeUnit.SECONDS));
-	}
-
-	private Future<Void> idle(long startNanos, long limitMillis) {
-		long passedMillis = (System.nanoTime() - startNanos) / 1_000_000;
-		boolean noticed = passedMillis >= BALANCER_NOTICE_MILLIS;
-		if ((noticed && this.inProgress == 0) || passedMillis >= limitMillis) {
-			return Future.succeededFuture();
-		}
+		long noticeMillis = Math.min(BALANCER_NOTICE_MILLIS, limitMillis);
 		return this.parts.vertx()
-			.timer(POLL_MILLIS, TimeUnit.MILLISECONDS)
-			.compose((waited) -> idle(startNanos, limitMillis));
+			.timer(Math.max(1, noticeMillis), TimeUnit.MILLISECONDS)
+			.compose((noticed) -> this.callers.shutdown(limitMillis - noticeMillis, TimeUnit.MILLISECONDS))
+			.compose((closed) -> this.readiness.shutdown(0, TimeUnit.SECONDS));
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
@@ -94,6 +94,7 @@
 
 	private void whole(HttpClientResponse answer, Buffer content) {
 		int status = answer.statusCode();
+		cleared();
 		release((status >= SERVER_ERROR) ? Result.FAILED : Result.SUCCEEDED);
 		NextStep step = attempts().ended(new AttemptOutcome.Answered(status), timeLeft());
 		if (step == NextStep.TRY_AGAIN) {
@@ -112,6 +113,7 @@
 		if (isDone()) {
 			return;
 		}
+		suspect(this.server, outcome, 0);
 		release((outcome instanceof AttemptOutcome.NotRun) ? Result.ABANDONED : Result.FAILED);
 		NextStep step = attempts().ended(outcome, timeLeft());
 		log("attempt-ended", "server", this.server.name(), "outcome", outcome, "next", step);
@@ -144,7 +146,7 @@
 	void cancel(String reason) {
 		if (this.call != null) {
 			log("attempt-cancelled", "server", this.server.name(), "reason", reason);
-			this.call.cancel();
+			attempts().ended(this.call.cancelled(reason), false);
 			this.call = null;
 		}
 		release(Result.ABANDONED);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -122,11 +122,13 @@
 	}
 
 	/**
-	 * Tells whether a byte of the request may have left this process.
-	 * @return true once a connection was obtained
+	 * Ends the call like {@link #cancel()}.
+	 * @param reason the cause
+	 * @return whether the server can have got a byte of the request
 	 */
-	boolean sent() {
-		return this.sent;
+	AttemptOutcome cancelled(String reason) {
+		cancel();
+		return this.sent ? new AttemptOutcome.Broken(reason) : new AttemptOutcome.NotSent(reason);
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -130,7 +130,7 @@
 		}
 	}
 
-	/** Callers abandon a stream whose first event does not come within this time. */
+	// Callers abandon a stream whose first event does not come within this time.
 	private long callerPatienceMillis() {
 		return Math.max(MIN_CALLER_PATIENCE_MILLIS, Math.max(TARGETS_OF_PATIENCE * route().targetMillis(),
 				PAUSES_OF_PATIENCE * route().pauseTargetMillis()));
@@ -220,7 +220,7 @@
 		});
 	}
 
-	/** A prefill generates nothing, so its failure leaves the request not run. */
+	// A prefill generates nothing, so its failure leaves the request not run.
 	private void prefillFailed(ListedServer engine, AttemptOutcome outcome) {
 		unwatch();
 		this.prefillCall = null;
@@ -366,6 +366,7 @@
 			return;
 		}
 		unwatch();
+		cleared();
 		endDecode();
 		attempts().ended(new AttemptOutcome.Answered(OK), false);
 		if (finish("answered", OK)) {
@@ -396,6 +397,7 @@
 			return;
 		}
 		engineFailed(engine, outcome);
+		suspect(engine, outcome, this.lastEventId);
 		NextStep step = attempts().ended(outcome, timeLeft());
 		log("attempt-ended", "server", engine.name(), "outcome", outcome, "next", step, "last_event", this.lastEventId);
 		parts().metrics().count("attempts_failed_total", outcome.getClass().getSimpleName());
@@ -436,7 +438,7 @@
 		this.cache = null;
 	}
 
-	/** Frees memory that no decode engine has fetched. */
+	// Frees memory that no decode engine has fetched.
 	private void free(KvCache unused) {
 		parts().client()
 			.open(unused.engine(), HttpMethod.DELETE, parts().dialect().handlePath(unused.handle()))
@@ -474,7 +476,7 @@
 		}
 		if (this.decodeCall != null) {
 			log("attempt-cancelled", "server", this.decode.name(), "reason", reason);
-			this.decodeCall.cancel();
+			attempts().ended(this.decodeCall.cancelled(reason), false);
 		}
 		endPrefill();
 		endDecode();
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/PeerViews.java
@@ -0,0 +1,108 @@
+package io.balsamlane.router.store;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import com.google.protobuf.ByteString;
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.router.peer.PeerNetwork;
+import io.balsamlane.router.peer.PeerReply;
+import io.balsamlane.schema.PeerMessage;
+import io.balsamlane.schema.StoreItem;
+import io.balsamlane.schema.StoreView;
+import io.balsamlane.schema.StoreViewQuery;
+import io.vertx.core.Future;
+
+/**
+ * Views of the store that routers give each other while some of them cannot reach it.
+ * Runs on one event loop.
+ */
+public final class PeerViews {
+
+	private static final long CALL_TIMEOUT_MILLIS = 400;
+
+	private final PeerNetwork peers;
+
+	private final Map<String, Supplier<Optional<StoreSnapshot>>> own = new HashMap<>();
+
+	private PeerViews(PeerNetwork peers) {
+		this.peers = peers;
+	}
+
+	/**
+	 * Creates the exchange and answers other routers from now on.
+	 * @param peers the other routers
+	 * @return the exchange
+	 */
+	public static PeerViews create(PeerNetwork peers) {
+		PeerViews views = new PeerViews(peers);
+		peers.register(PeerMessage.BodyCase.STORE_VIEW_QUERY, (from, message) -> Future.succeededFuture(
+				PeerMessage.newBuilder().setStoreView(views.answer(message.getStoreViewQuery().getPrefix()))));
+		return views;
+	}
+
+	/**
+	 * Offers a view to other routers.
+	 * @param prefix prefix of the keys
+	 * @param view returns the view, empty while it is not known
+	 */
+	public void offer(String prefix, Supplier<Optional<StoreSnapshot>> view) {
+		this.own.put(prefix, view);
+	}
+
+	private StoreView answer(String prefix) {
+		return Optional.ofNullable(this.own.get(prefix))
+			.flatMap(Supplier::get)
+			.map((view) -> StoreView.newBuilder()
+				.setKnown(true)
+				.setAgeMillis((int) Math.min(Integer.MAX_VALUE, view.ageMillis()))
+				.addAllItems(view.items()
+					.stream()
+					.map((item) -> StoreItem.newBuilder()
+						.setKey(item.key())
+						.setValue(ByteString.copyFrom(item.value()))
+						.build())
+					.toList())
+				.build())
+			.orElse(StoreView.getDefaultInstance());
+	}
+
+	/**
+	 * Asks one other router for its view, one of the same place if there is any.
+	 * @param prefix prefix of the keys
+	 * @return the view, empty if the router has none or does not answer; never fails
+	 */
+	public Future<Optional<StoreSnapshot>> ask(String prefix) {
+		Member self = this.peers.members().self();
+		List<Member> others = new ArrayList<>(this.peers.members().members());
+		others.removeIf((member) -> member.host().equals(self.host()));
+		if (others.isEmpty()) {
+			return Future.succeededFuture(Optional.empty());
+		}
+		Collections.shuffle(others);
+		Member asked = others.stream()
+			.min(Comparator.comparingInt((Member member) -> member.place().equals(self.place()) ? 0 : 1))
+			.orElseThrow();
+		PeerMessage.Builder query = PeerMessage.newBuilder()
+			.setStoreViewQuery(StoreViewQuery.newBuilder().setPrefix(prefix));
+		return this.peers.call(asked.host(), query, CALL_TIMEOUT_MILLIS).map(PeerViews::snapshot);
+	}
+
+	private static Optional<StoreSnapshot> snapshot(PeerReply reply) {
+		if (!(reply instanceof PeerReply.Answered answered) || !answered.message().getStoreView().getKnown()) {
+			return Optional.empty();
+		}
+		StoreView view = answered.message().getStoreView();
+		return Optional.of(new StoreSnapshot(view.getItemsList()
+			.stream()
+			.map((item) -> new PrefixRead.Item(item.getKey(), item.getValue().toByteArray()))
+			.toList(), view.getAgeMillis()));
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
@@ -1,6 +1,9 @@
 package io.balsamlane.router.store;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.vertx.core.Vertx;
@@ -16,6 +19,11 @@
 
 	private static final long MAX_PAUSE_MILLIS = 800;
 
+	/** A view that is less than this much older than a peer's is kept. */
+	private static final long PEER_AGE_MILLIS = 800;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	/**
 	 * Time after the store's return in which entries that lapsed during its outage are
 	 * entered again.
@@ -32,6 +40,16 @@
 
 	private final Listener listener;
 
+	private final PeerViews peers;
+
+	private final Map<String, byte[]> view = new LinkedHashMap<>();
+
+	private boolean known;
+
+	private long confirmedNanos;
+
+	private boolean asking;
+
 	private long pauseMillis = MIN_PAUSE_MILLIS;
 
 	private boolean lost;
@@ -44,12 +62,14 @@
 
 	private boolean stopped;
 
-	private PrefixWatcher(Vertx vertx, PrefixStore store, String prefix, long waitMillis, Listener listener) {
+	private PrefixWatcher(Vertx vertx, PrefixStore store, String prefix, long waitMillis, Listener listener,
+			PeerViews peers) {
 		this.vertx = vertx;
 		this.store = store;
 		this.prefix = prefix;
 		this.waitMillis = waitMillis;
 		this.listener = listener;
+		this.peers = peers;
 	}
 
 	/**
@@ -59,17 +79,19 @@
 	 * @param prefix the prefix
 	 * @param waitMillis longest time that one watch waits
 	 * @param listener hears of each change
+	 * @param peers asked while the store cannot be reached
 	 * @return the watcher
 	 */
 	public static PrefixWatcher create(Vertx vertx, PrefixStore store, String prefix, long waitMillis,
-			Listener listener) {
-		return new PrefixWatcher(vertx, store, prefix, waitMillis, listener);
+			Listener listener, PeerViews peers) {
+		return new PrefixWatcher(vertx, store, prefix, waitMillis, listener, peers);
 	}
 
 	/**
 	 * Starts with a full read.
 	 */
 	public void start() {
+		this.peers.offer(this.prefix, this::snapshot);
 		read();
 	}
 
@@ -97,6 +119,7 @@
 			}
 			if (result instanceof PrefixRead.Listed listed) {
 				reached();
+				replace(listed.items(), System.nanoTime());
 				this.listener.listed(listed.items(), afterOutage());
 				watch(listed.revision());
 			}
@@ -114,6 +137,8 @@
 			}
 			if (result instanceof PrefixRead.Changed changed) {
 				reached();
+				changed.changes().forEach(this::change);
+				this.confirmedNanos = System.nanoTime();
 				this.listener.changed(changed.changes(), afterOutage());
 				watch(changed.revision());
 			}
@@ -126,6 +151,51 @@
 		});
 	}
 
+	private void replace(List<PrefixRead.Item> items, long atNanos) {
+		this.view.clear();
+		items.forEach(this::change);
+		this.known = true;
+		this.confirmedNanos = atNanos;
+	}
+
+	private void change(PrefixRead.Item item) {
+		if (item.removed()) {
+			this.view.remove(item.key());
+		}
+		else {
+			this.view.put(item.key(), item.value());
+		}
+	}
+
+	private Optional<StoreSnapshot> snapshot() {
+		return this.known ? Optional.of(new StoreSnapshot(this.view.entrySet()
+			.stream()
+			.map((entry) -> new PrefixRead.Item(entry.getKey(), entry.getValue()))
+			.toList(), ageMillis())) : Optional.empty();
+	}
+
+	private long ageMillis() {
+		return (System.nanoTime() - this.confirmedNanos) / NANOS_PER_MILLI;
+	}
+
+	// Takes over a peer's view if it is fresher than this router's own.
+	private void askPeers() {
+		if (this.asking || (this.known && ageMillis() < PEER_AGE_MILLIS)) {
+			return;
+		}
+		this.asking = true;
+		this.peers.ask(this.prefix).onSuccess((answer) -> {
+			this.asking = false;
+			if (answer.isPresent() && this.lost && !this.stopped
+					&& (!this.known || answer.get().ageMillis() + PEER_AGE_MILLIS < ageMillis())) {
+				StoreSnapshot snapshot = answer.get();
+				replace(snapshot.items(), System.nanoTime() - snapshot.ageMillis() * NANOS_PER_MILLI);
+				this.listener.listed(snapshot.items(), true);
+				this.listener.taken(snapshot.ageMillis());
+			}
+		});
+	}
+
 	private void reached() {
 		if (this.lost) {
 			this.lost = false;
@@ -146,6 +216,7 @@
 			this.listener.lost((result instanceof PrefixRead.Unavailable unavailable) ? unavailable.message()
 					: "unexpected answer");
 		}
+		askPeers();
 		int current = this.generation;
 		long spread = ThreadLocalRandom.current().nextLong(this.pauseMillis / 2 + 1);
 		this.vertx.setTimer(this.pauseMillis + spread, (id) -> {
@@ -175,6 +246,12 @@
 		 */
 		void changed(List<PrefixRead.Item> changes, boolean afterOutage);
 
+		/**
+		 * Hears that the last list was a peer's view.
+		 * @param ageMillis age of the view
+		 */
+		void taken(long ageMillis);
+
 		/**
 		 * Hears that the store cannot be reached.
 		 * @param reason the cause
