--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingConfiguration.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingConfiguration.java
@@ -1,5 +1,6 @@
 package io.balsamlane.core.forwarding;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
@@ -91,6 +92,14 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Returns all services.
+	 * @return the services
+	 */
+	public Collection<ForwardedService> services() {
+		return this.services.values();
+	}
+
 	/**
 	 * Returns the number of routes.
 	 * @return the routes of all hosts
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.balsamlane.core.model.ServerName;
 
@@ -141,12 +142,22 @@
 	 * @return the servers
 	 */
 	public List<ListedServer> usable(String service) {
+		return usable().filter((server) -> server.service().equals(service)).toList();
+	}
+
+	/**
+	 * Returns the number of servers that may get requests.
+	 * @return the servers of all services
+	 */
+	public int usableCount() {
+		return (int) usable().count();
+	}
+
+	private Stream<ListedServer> usable() {
 		return this.states.values()
 			.stream()
 			.filter((state) -> !state.left && !state.listed.server().leaving())
-			.map((state) -> state.listed)
-			.filter((server) -> server.service().equals(service))
-			.toList();
+			.map((state) -> state.listed);
 	}
 
 	/**
--- a/balsamlane-core/src/main/java/io/balsamlane/core/orders/PoolOrders.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/orders/PoolOrders.java
@@ -27,7 +27,7 @@
  * <p>
  * Times are in nanoseconds of a monotonic clock. Not safe for use by several threads.
  */
-public final class PoolOrders {
+public final class PoolOrders implements OrderEventHandler {
 
 	private final OrderLease lease;
 
@@ -90,12 +90,8 @@
 		return actions;
 	}
 
-	/**
-	 * Takes the answer to an action.
-	 * @param event the answer; answers that belong to an earlier lease are ignored
-	 * @param nowNanos the time
-	 * @return the actions to carry out
-	 */
+	// Answers that belong to an earlier lease are ignored.
+	@Override
 	public List<OrderAction> handle(OrderEvent event, long nowNanos) {
 		boolean current = this.lease.held(nowNanos);
 		List<OrderAction> actions = new ArrayList<>(this.lease.handle(event, nowNanos));
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -174,14 +174,27 @@
 		return this.configuration != null && this.serversKnown && !this.draining;
 	}
 
-	Optional<ForwardingConfiguration> configuration() {
+	/**
+	 * Returns the configuration in force.
+	 * @return the configuration, empty before the first one
+	 */
+	public Optional<ForwardingConfiguration> configuration() {
 		return Optional.ofNullable(this.configuration);
 	}
 
-	List<ListedServer> usable(String service) {
+	/**
+	 * Returns the servers of a service that may get requests.
+	 * @param service name of the service
+	 * @return the servers
+	 */
+	public List<ListedServer> usable(String service) {
 		return this.servers.usable(service);
 	}
 
+	int usableCount() {
+		return this.servers.usableCount();
+	}
+
 	ReplicaChooser replicas() {
 		return this.replicas;
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -96,6 +96,7 @@
 			.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
 			.requestHandler(this::checked);
 		this.parts.metrics().gauge("requests_in_progress", () -> this.inProgress);
+		this.parts.metrics().gauge("servers_usable", () -> this.parts.state().usableCount());
 		this.parts.metrics().gauge("waiting_streams", () -> this.parts.waiting().size());
 		this.parts.metrics().gauge("buffered_bytes", () -> this.bufferedBytes);
 		this.parts.metrics().gauge("list_age_seconds", () -> this.parts.state().serversAgeMillis() / 1e3);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -49,6 +49,9 @@
 	/** Share that late streams may fill; the rest is kept for those on time. */
 	private static final double LATE_FILL = 0.75;
 
+	/** An engine that holds less than this share of its KV cache has room for sure. */
+	private static final double ROOMY = 0.7;
+
 	/** Time from placing to the first event, without a queue. */
 	private static final long TYPICAL_START_MILLIS = 250;
 
@@ -392,6 +395,9 @@
 	private void decodeEnded(AttemptOutcome outcome) {
 		unwatch();
 		ListedServer engine = this.decode;
+		if (outcome instanceof AttemptOutcome.NotRun) {
+			refusedDecode(engine);
+		}
 		endDecode();
 		if (isDone()) {
 			return;
@@ -413,6 +419,16 @@
 		}
 	}
 
+	// An engine that refuses although it has room lacks the cache, or changes its stage.
+	private void refusedDecode(ListedServer engine) {
+		double held = parts().state().engines().work(engine.name(), System.nanoTime()).kvTokens();
+		if (engineLimits().kvTokens() > 0 && held < engineLimits().kvTokens() * ROOMY) {
+			ListedServer suspect = (this.cache != null) ? this.cache.engine() : engine;
+			parts().state().engines().failed(suspect.name(), System.nanoTime());
+			log("engine-avoided", "server", suspect.name(), "held_tokens", held);
+		}
+	}
+
 	private void engineFailed(ListedServer engine, AttemptOutcome outcome) {
 		if (!(outcome instanceof AttemptOutcome.NotRun)) {
 			parts().state().engines().failed(engine.name(), System.nanoTime());
--- a/balsamlane-router/src/main/java/io/balsamlane/router/orders/HttpEngineOrders.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/orders/HttpEngineOrders.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.model.ServerName;
 import io.balsamlane.core.orders.EngineOrder;
 import io.balsamlane.core.orders.EngineState;
 import io.vertx.core.Future;
@@ -69,7 +70,8 @@
 	}
 
 	@Override
-	public Future<OrderAnswer> issue(Endpoint engine, EngineOrder order, long fencing, long notAfterNanos) {
+	public Future<OrderAnswer> issue(ServerName name, Endpoint engine, EngineOrder order, long fencing,
+			long notAfterNanos) {
 		JsonObject json = new JsonObject().put("fencing", fencing)
 			.put("kind", order.kind().name().toLowerCase(Locale.ROOT))
 			.put("value", order.value());
--- a/balsamlane-router/src/main/java/io/balsamlane/router/orders/OrderExecutor.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/orders/OrderExecutor.java
@@ -11,7 +11,7 @@
 import io.balsamlane.core.orders.OrderAction;
 import io.balsamlane.core.orders.OrderAction.IssueOrder;
 import io.balsamlane.core.orders.OrderEvent;
-import io.balsamlane.core.orders.PoolOrders;
+import io.balsamlane.core.orders.OrderEventHandler;
 import io.balsamlane.router.store.LeaseStore;
 import io.balsamlane.router.store.StoreLease;
 import io.balsamlane.router.store.StoreRead;
@@ -48,7 +48,7 @@
 		this.endpoints = endpoints;
 	}
 
-	void execute(String pool, PoolOrders orders, List<OrderAction> actions) {
+	void execute(String pool, OrderEventHandler orders, List<OrderAction> actions) {
 		actions.forEach((action) -> {
 			if (action instanceof OrderAction.RevokeLease revoke) {
 				this.store.revokeLease(revoke.lease());
@@ -130,10 +130,11 @@
 		if (endpoint == null) {
 			return Future.succeededFuture(new OrderEvent.OrderNotTaken(issue.call()));
 		}
-		return this.engines.issue(endpoint, issue.order(), issue.fencing(), issue.notAfterNanos()).map((result) -> {
-			record(pool, issue, result);
-			return toEvent(issue.call(), result);
-		});
+		return this.engines.issue(issue.engine(), endpoint, issue.order(), issue.fencing(), issue.notAfterNanos())
+			.map((result) -> {
+				record(pool, issue, result);
+				return toEvent(issue.call(), result);
+			});
 	}
 
 	private void record(String pool, IssueOrder issue, OrderAnswer result) {
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/orders/StageOrderDriver.java
@@ -0,0 +1,147 @@
+package io.balsamlane.router.orders;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import io.balsamlane.core.forwarding.ListedServer;
+import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.model.ServerName;
+import io.balsamlane.core.orders.OrderLimits;
+import io.balsamlane.core.orders.StageBalance;
+import io.balsamlane.core.orders.StageChange;
+import io.balsamlane.core.orders.StageOrders;
+import io.balsamlane.router.peer.PeerNetwork;
+import io.balsamlane.router.store.LeaseStore;
+import io.balsamlane.router.timeline.Timeline;
+import io.vertx.core.Vertx;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Keeps the engines of each service divided between prefill and decode. The router that
+ * owns a service by rendezvous hashing gives the orders, under a lease of the store. Runs
+ * on one event loop.
+ */
+public final class StageOrderDriver {
+
+	private static final String OWNER_PREFIX = "stages/";
+
+	private static final long TICK_MILLIS = 250;
+
+	/** A wish must hold for this time, so that a short gap in the list orders nothing. */
+	private static final long STEADY_NANOS = 1_500_000_000L;
+
+	private final Vertx vertx;
+
+	private final String host;
+
+	private final OrderLimits limits;
+
+	private final long changeNanos;
+
+	private final PeerNetwork peers;
+
+	private final UniformRandomProvider random;
+
+	private final Supplier<Map<String, StageBalance>> balances;
+
+	private final Function<String, List<ListedServer>> engines;
+
+	private final OrderExecutor executor;
+
+	private final Map<String, StageOrders> orders = new HashMap<>();
+
+	private final Map<String, Wish> wishes = new HashMap<>();
+
+	private boolean stopping;
+
+	private StageOrderDriver(Vertx vertx, String host, OrderLimits limits, long changeNanos, LeaseStore store,
+			EngineOrders engineOrders, PeerNetwork peers, Timeline timeline, UniformRandomProvider random,
+			Supplier<Map<String, StageBalance>> balances, Function<String, List<ListedServer>> engines) {
+		this.vertx = vertx;
+		this.host = host;
+		this.limits = limits;
+		this.changeNanos = changeNanos;
+		this.peers = peers;
+		this.random = random;
+		this.balances = balances;
+		this.engines = engines;
+		this.executor = new OrderExecutor(vertx.getOrCreateContext(), store, engineOrders, timeline, this::endpoint);
+	}
+
+	/**
+	 * Creates the driver.
+	 * @param vertx the event loop
+	 * @param host name of this host
+	 * @param limits times of orders and their lease
+	 * @param changeNanos time that an engine takes to change
+	 * @param store the platform store
+	 * @param engineOrders the engines' interface
+	 * @param peers the other routers
+	 * @param timeline records the orders
+	 * @param random source of pauses
+	 * @param balances the balance of each service that has engines
+	 * @param engines the engines of a service that are in service
+	 * @return the driver, not started
+	 */
+	public static StageOrderDriver create(Vertx vertx, String host, OrderLimits limits, long changeNanos,
+			LeaseStore store, EngineOrders engineOrders, PeerNetwork peers, Timeline timeline,
+			UniformRandomProvider random, Supplier<Map<String, StageBalance>> balances,
+			Function<String, List<ListedServer>> engines) {
+		return new StageOrderDriver(vertx, host, limits, changeNanos, store, engineOrders, peers, timeline, random,
+				balances, engines);
+	}
+
+	/**
+	 * Starts to give orders.
+	 */
+	public void start() {
+		this.vertx.setPeriodic(TICK_MILLIS, (id) -> tick());
+	}
+
+	/**
+	 * Gives up all services; leases are revoked as soon as no order can take effect.
+	 */
+	public void release() {
+		this.stopping = true;
+	}
+
+	private void tick() {
+		long nowNanos = System.nanoTime();
+		this.balances.get().forEach((service, balance) -> {
+			StageOrders of = this.orders.computeIfAbsent(service,
+					(name) -> StageOrders.create(this.host, this.limits, this.changeNanos, this.random, nowNanos));
+			boolean owned = !this.stopping && this.peers.members().owns(OWNER_PREFIX + service);
+			of.update(owned,
+					owned ? steady(service, balance.next(this.engines.apply(service)), nowNanos) : Optional.empty());
+			this.executor.execute(service, of, of.tick(nowNanos));
+		});
+	}
+
+	private Optional<StageChange> steady(String service, Optional<StageChange> change, long nowNanos) {
+		Wish wish = this.wishes.get(service);
+		if (wish == null || !wish.change().equals(change)) {
+			this.wishes.put(service, new Wish(change, nowNanos));
+			return Optional.empty();
+		}
+		return (nowNanos - wish.sinceNanos() >= STEADY_NANOS) ? change : Optional.empty();
+	}
+
+	private Endpoint endpoint(ServerName engine) {
+		return this.balances.get()
+			.keySet()
+			.stream()
+			.flatMap((service) -> this.engines.apply(service).stream())
+			.filter((server) -> server.name().equals(engine))
+			.map((server) -> server.server().endpoint())
+			.findFirst()
+			.orElse(null);
+	}
+
+	private record Wish(Optional<StageChange> change, long sinceNanos) {
+	}
+
+}
