--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestAttempts.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestAttempts.java
@@ -108,6 +108,14 @@
 		return (this.mayHaveRun || this.open) ? NextStep.FAIL : NextStep.REFUSE;
 	}
 
+	/**
+	 * Tells whether the present attempt may be given up for another one.
+	 * @return true if a second run is harmless and an attempt is left after this one
+	 */
+	public boolean mayMove() {
+		return this.open && this.kind.repeatable() && this.sent + 1 < this.maxAttempts;
+	}
+
 	/**
 	 * Returns the servers that attempts were made at.
 	 * @return a copy of the names
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
@@ -78,6 +78,7 @@
 			if (this.call != current || isDone()) {
 				return;
 			}
+			this.call = null;
 			if (read.failed()) {
 				current.cancel();
 				ended(new AttemptOutcome.Broken(read.cause().getMessage()));
@@ -146,8 +147,10 @@
 	void cancel(String reason) {
 		if (this.call != null) {
 			log("attempt-cancelled", "server", this.server.name(), "reason", reason);
-			attempts().ended(this.call.cancelled(reason), false);
+			// A reset tells the handlers of the answer at once; they must find no call.
+			ServerCall running = this.call;
 			this.call = null;
+			attempts().ended(running.cancelled(reason), false);
 		}
 		release(Result.ABANDONED);
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -38,8 +38,11 @@
 	/** Shortest wait for a prefill or a first event before it counts as stuck. */
 	private static final long MIN_PATIENCE_MILLIS = 1200;
 
-	/** Longest pause between events before a resumable stream moves. */
-	private static final long EVENT_PATIENCE_MILLIS = 1200;
+	/**
+	 * Longest pause between events before a resumable stream moves; callers leave after
+	 * 3.6 s on the sheets of both sites.
+	 */
+	private static final long EVENT_PATIENCE_MILLIS = 2200;
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -195,7 +198,9 @@
 		this.prefillCall = new ServerCall(parts(), engine, (answer) -> prefilled(engine, then, answer),
 				(outcome) -> prefillFailed(engine, outcome));
 		watch(() -> {
-			this.prefillCall.cancel();
+			ServerCall slow = this.prefillCall;
+			this.prefillCall = null;
+			slow.cancel();
 			prefillFailed(engine, new AttemptOutcome.Broken("no result in time"));
 		});
 		this.prefillCall.start(request(), facts().requestId(), body(), remainingMillis(),
@@ -211,6 +216,7 @@
 			Optional<String> handle = (read.succeeded() && answer.statusCode() == OK)
 					? parts().dialect().handle(read.result()) : Optional.empty();
 			if (handle.isEmpty()) {
+				this.prefillCall = null;
 				current.cancel();
 				prefillFailed(engine, new AttemptOutcome.Broken("status " + answer.statusCode()));
 				return;
@@ -259,8 +265,8 @@
 			this.decodeTicket = parts().state().engines().started(engine, facts().promptTokens(), facts().kvTokens());
 		}
 		this.decodeCall = new ServerCall(parts(), engine, this::streaming, this::decodeEnded);
-		if (route().kind().repeatable()) {
-			watch(() -> stuck("no first event in time"));
+		if (attempts().mayMove()) {
+			watch(EVENT_PATIENCE_MILLIS, () -> stuck("no first event in time"));
 		}
 		this.decodeCall.start(request(), facts().requestId(), body(), remainingMillis(), (headers) -> {
 			if (source != null) {
@@ -296,8 +302,7 @@
 				return;
 			}
 			if (read.failed() || this.headSent) {
-				current.cancel();
-				decodeEnded(new AttemptOutcome.Broken("status " + answer.statusCode()));
+				broken(current, "status " + answer.statusCode());
 				return;
 			}
 			endDecode();
@@ -320,7 +325,7 @@
 			broken(current, ex.getMessage());
 			return;
 		}
-		if (route().kind().repeatable() && !isDone()) {
+		if (attempts().mayMove() && !isDone()) {
 			watch(EVENT_PATIENCE_MILLIS, () -> stuck("no event in time"));
 		}
 	}
@@ -378,15 +383,15 @@
 	}
 
 	private void stuck(String reason) {
-		ServerCall current = this.decodeCall;
-		if (current != null) {
-			current.cancel();
-			broken(current, reason);
+		if (this.decodeCall != null) {
+			broken(this.decodeCall, reason);
 		}
 	}
 
 	private void broken(ServerCall current, String reason) {
 		if (this.decodeCall == current && !isDone()) {
+			// A reset tells the handlers of the answer at once; they must find no call.
+			this.decodeCall = null;
 			current.cancel();
 			decodeEnded(new AttemptOutcome.Broken(reason));
 		}
@@ -487,12 +492,15 @@
 		parts().waiting().remove(service().name(), this);
 		if (this.prefillCall != null) {
 			log("prefill-cancelled", "reason", reason);
-			this.prefillCall.cancel();
+			ServerCall running = this.prefillCall;
 			this.prefillCall = null;
+			running.cancel();
 		}
 		if (this.decodeCall != null) {
 			log("attempt-cancelled", "server", this.decode.name(), "reason", reason);
-			attempts().ended(this.decodeCall.cancelled(reason), false);
+			ServerCall running = this.decodeCall;
+			this.decodeCall = null;
+			attempts().ended(running.cancelled(reason), false);
 		}
 		endPrefill();
 		endDecode();
