--- a/balsamlane-cli/src/main/java/io/balsamlane/cli/ChangeSender.java
+++ b/balsamlane-cli/src/main/java/io/balsamlane/cli/ChangeSender.java
@@ -188,7 +188,7 @@
 			return ExitCode.DONE;
 		}
 		this.context.note("Not in force on: " + String.join(", ", inForce.missing())
-				+ ". It comes into force there when they reach the store or another router; see docs/operations.md");
+				+ ". It comes into force there when they reach the store or another router; see docs/OPERATIONS.md");
 		return ExitCode.NOT_EVERYWHERE;
 	}
 
--- a/balsamlane-cli/src/main/java/io/balsamlane/cli/RouterClient.java
+++ b/balsamlane-cli/src/main/java/io/balsamlane/cli/RouterClient.java
@@ -240,7 +240,7 @@
 		String explanation() {
 			JsonObject json = json();
 			return json.getString("message", "status " + this.status) + " (" + kind() + "). "
-					+ json.getString("remedy", "See docs/operations.md");
+					+ json.getString("remedy", "See docs/OPERATIONS.md");
 		}
 
 	}
--- a/balsamlane-cli/src/main/java/io/balsamlane/cli/StatusCommand.java
+++ b/balsamlane-cli/src/main/java/io/balsamlane/cli/StatusCommand.java
@@ -83,7 +83,7 @@
 				.forEach((member) -> seen.add(((JsonObject) member).getString("host")));
 		});
 		if (revisions.size() > 1) {
-			remarks.add("Revisions differ: " + revisions + "; see docs/operations.md, \"A change is not everywhere\"");
+			remarks.add("Revisions differ: " + revisions + "; see docs/OPERATIONS.md, \"A change is not everywhere\"");
 		}
 		seen.removeAll(asked);
 		if (!seen.isEmpty()) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/admin/ConfigurationHandlers.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/admin/ConfigurationHandlers.java
@@ -137,7 +137,7 @@
 		}
 		return OperatorAnswer.error(503, "store-unavailable",
 				"The change is not stored: " + ((SubmitResult.StoreUnavailable) result).message(),
-				"Try again when the platform store answers; see docs/operations.md");
+				"Try again when the platform store answers; see docs/OPERATIONS.md");
 	}
 
 	private static OperatorAnswer refused(EditResult reason) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
@@ -2,9 +2,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.HashSet;
 import java.util.zip.CRC32C;
 
 import io.balsamlane.core.forwarding.ListedServer;
--- a/balsamlane-router/src/test/java/io/balsamlane/router/OperationsPageTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/OperationsPageTests.java
@@ -44,9 +44,9 @@
 		kinds.removeAll(NO_ERRORS);
 		assertThat(kinds).as("kinds found by the scan")
 			.contains("no-route", "wrong-key", "outcome-unknown", "deadline");
-		String page = Files.readString(Path.of("../docs/operations.md"));
+		String page = Files.readString(Path.of("../docs/OPERATIONS.md"));
 		assertThat(kinds.stream().filter((kind) -> !page.contains("\n| `" + kind + "` |")))
-			.as("error kinds without an entry in docs/operations.md")
+			.as("error kinds without an entry in docs/OPERATIONS.md")
 			.isEmpty();
 	}
 
