A request is suspected only of servers that ended; best division of engines at any size

Causes: an answer that a living server lost counted as its death, so two lost answers of one repeated request could quarantine it; a break now counts when the list shows the server's end.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/orders/StageBalance.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/orders/StageBalance.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import io.balsamlane.core.forwarding.EngineStage;
 import io.balsamlane.core.forwarding.ListedServer;
@@ -35,13 +36,14 @@
 		if (staged.size() < 2) {
 			return Optional.empty();
 		}
-		double present = carried(prefill, staged.size());
-		double fewer = carried(prefill - 1, staged.size());
-		double more = carried(prefill + 1, staged.size());
-		if (Math.max(fewer, more) < present * MIN_GAIN || Math.max(fewer, more) <= 0) {
+		int best = IntStream.range(1, staged.size())
+			.boxed()
+			.max(Comparator.comparingDouble((count) -> carried(count, staged.size())))
+			.orElseThrow();
+		if (best == prefill || carried(best, staged.size()) < carried(prefill, staged.size()) * MIN_GAIN) {
 			return Optional.empty();
 		}
-		return (fewer > more) ? change(staged, EngineStage.PREFILL, "decode")
+		return (best < prefill) ? change(staged, EngineStage.PREFILL, "decode")
 				: change(staged, EngineStage.DECODE, "prefill");
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
@@ -3,12 +3,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.zip.CRC32C;
 
 import io.balsamlane.core.forwarding.ListedServer;
 import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.ServerName;
 import io.balsamlane.core.retry.Quarantine;
 import io.balsamlane.router.peer.PeerNetwork;
 import io.balsamlane.schema.Acknowledgement;
@@ -22,8 +24,8 @@
 
 /**
  * Finds requests that crash the servers that run them, together with the other routers:
- * each tells the others which requests it had on a server whose connections broke. Runs
- * on one event loop.
+ * each tells the others which of its requests broke on a server that ended. Runs on one
+ * event loop.
  */
 public final class CrashGuard {
 
@@ -37,6 +39,9 @@
 	/** Callers repeat such a request for minutes at most. */
 	private static final long RETENTION_NANOS = 120_000_000_000L;
 
+	/** The list shows the end of a server three heartbeats after it, and some lag. */
+	private static final long BREAK_NANOS = 8_000_000_000L;
+
 	/** Breaks of one server within this time are told together. */
 	private static final long GATHER_MILLIS = 30;
 
@@ -57,6 +62,15 @@
 
 	private final Map<String, Set<Long>> untold = new HashMap<>();
 
+	private final Map<ServerName, Map<Long, Break>> broken = new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<ServerName, Map<Long, Break>> eldest) {
+			return size() > MAX_DEATHS;
+		}
+
+	};
+
 	private CrashGuard(Vertx vertx, PeerNetwork peers, DecisionLog log) {
 		this.vertx = vertx;
 		this.peers = peers;
@@ -126,20 +140,38 @@
 	}
 
 	/**
-	 * Notes that a connection broke while a server ran a request.
+	 * Notes that a connection broke while a server ran a request. Many servers lose an
+	 * answer now and then; only the end of the server makes the request a suspect.
 	 * @param server the server
 	 * @param fingerprint the request
 	 * @param lastEventId last event that the server sent, 0 if none
 	 */
 	void broke(ListedServer server, long fingerprint, long lastEventId) {
-		String incarnation = server.name() + "/" + server.bornMillis();
-		this.quarantine.died(incarnation, Map.of(fingerprint, (int) Math.min(Integer.MAX_VALUE, lastEventId)),
-				System.nanoTime());
-		if (this.untold.isEmpty()) {
-			this.vertx.setTimer(GATHER_MILLIS, (id) -> tell());
+		this.broken.computeIfAbsent(server.name(), (key) -> new HashMap<>())
+			.put(fingerprint, new Break(server.name() + "/" + server.bornMillis(),
+					(int) Math.min(Integer.MAX_VALUE, lastEventId), System.nanoTime()));
+	}
+
+	/**
+	 * Notes that an incarnation of a server has ended without notice.
+	 * @param name the server
+	 */
+	void ended(ServerName name) {
+		Map<Long, Break> breaks = this.broken.remove(name);
+		if (breaks == null) {
+			return;
 		}
-		this.untold.computeIfAbsent(incarnation, (key) -> new HashSet<>()).add(fingerprint);
-		decideLater();
+		long nowNanos = System.nanoTime();
+		breaks.forEach((fingerprint, found) -> {
+			if (nowNanos - found.atNanos() < BREAK_NANOS) {
+				this.quarantine.died(found.incarnation(), Map.of(fingerprint, found.lastEventId()), nowNanos);
+				if (this.untold.isEmpty()) {
+					this.vertx.setTimer(GATHER_MILLIS, (id) -> tell());
+				}
+				this.untold.computeIfAbsent(found.incarnation(), (key) -> new HashSet<>()).add(fingerprint);
+				decideLater();
+			}
+		});
 	}
 
 	private void tell() {
@@ -171,4 +203,7 @@
 			.forEach((member) -> this.peers.call(member.host(), message.clone(), CALL_TIMEOUT_MILLIS));
 	}
 
+	private record Break(String incarnation, int lastEventId, long atNanos) {
+	}
+
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.balsamlane.core.forwarding.EngineRates;
 import io.balsamlane.core.forwarding.ForwardingConfiguration;
@@ -36,6 +37,9 @@
 
 	private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
 
+	private Consumer<ServerName> endListener = (name) -> {
+	};
+
 	private ForwardingConfiguration configuration;
 
 	private long configurationNanos;
@@ -116,6 +120,14 @@
 		this.servers.removed(name, afterOutage, System.nanoTime()).ifPresent(this::changed);
 	}
 
+	/**
+	 * Sets who hears that a server has ended without notice or was started again.
+	 * @param listener the listener
+	 */
+	void setEndListener(Consumer<ServerName> listener) {
+		this.endListener = listener;
+	}
+
 	/**
 	 * Notes that the list is known to be up to date now.
 	 */
@@ -148,6 +160,9 @@
 				server.bornMillis());
 		if (change.kind().equals("listed") || change.kind().equals("gone")) {
 			this.engines.forget(server.name());
+			if (!server.server().leaving()) {
+				this.endListener.accept(server.name());
+			}
 		}
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -72,6 +72,7 @@
 	public static FrontServer create(Vertx vertx, ForwardingDialect dialect, ForwardingState state, DecisionLog log,
 			ForwardingMetrics metrics, CrashGuard crashes, String readyPath) {
 		ForwardingLimits limits = ForwardingLimits.defaults();
+		state.setEndListener(crashes::ended);
 		return new FrontServer(new ForwardingParts(vertx, dialect, state, new ServerClient(vertx, limits), limits, log,
 				metrics, new WaitingStreams(vertx), crashes), readyPath);
 	}
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/DecisionLogTests.java
@@ -0,0 +1,85 @@
+package io.balsamlane.router.forwarding;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+import io.vertx.core.json.JsonObject;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a log that blocks requests or grows without bound.
+ */
+class DecisionLogTests {
+
+	@Test
+	void lineHasItsFieldsAndTypes() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		DecisionLog log = DecisionLog.create("host-1", new PrintStream(out));
+		log.start();
+		log.log("server-chosen", "request-1", "server", "a", "age_millis", 12, "late", true);
+		log.stop();
+		JsonObject line = new JsonObject(out.toString(StandardCharsets.UTF_8));
+		assertThat(line.getString("host")).isEqualTo("host-1");
+		assertThat(line.getString("event")).isEqualTo("server-chosen");
+		assertThat(line.getString("request")).isEqualTo("request-1");
+		assertThat(line.getValue("age_millis")).isEqualTo(12);
+		assertThat(line.getValue("late")).isEqualTo(true);
+		assertThat(line.getString("time")).endsWith("Z");
+	}
+
+	@Test
+	void oneKindIsBoundedAndCounted() throws Exception {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		DecisionLog log = DecisionLog.create("host-1", new PrintStream(out));
+		log.start();
+		for (int line = 0; line < 1000; line++) {
+			log.log("request-ended", "");
+		}
+		log.log("process-started", "");
+		Thread.sleep(1100);
+		log.log("process-started", "");
+		log.stop();
+		List<JsonObject> lines = out.toString(StandardCharsets.UTF_8).lines().map(JsonObject::new).toList();
+		long written = lines.stream().filter((line) -> line.getString("event").equals("request-ended")).count();
+		long left = lines.stream()
+			.filter((line) -> line.getString("event").equals("log-suppressed"))
+			.mapToLong((line) -> line.getLong("lines"))
+			.sum();
+		assertThat(written).isBetween(200L, 400L);
+		assertThat(written + left).isEqualTo(1000);
+		assertThat(lines).anyMatch((line) -> line.getString("event").equals("process-started"));
+	}
+
+	@Test
+	void readerThatStandsStillDoesNotBlockTheCaller() {
+		CountDownLatch forever = new CountDownLatch(1);
+		DecisionLog log = DecisionLog.create("host-1", new PrintStream(new OutputStream() {
+
+			@Override
+			public void write(int next) {
+				try {
+					forever.await();
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+				}
+			}
+
+		}));
+		log.start();
+		long startNanos = System.nanoTime();
+		for (int line = 0; line < 50_000; line++) {
+			log.log("event-" + line % 500, "");
+		}
+		assertThat(Duration.ofNanos(System.nanoTime() - startNanos)).isLessThan(Duration.ofSeconds(10));
+		forever.countDown();
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of forwarding.
+ */
+package io.balsamlane.router.forwarding;
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
@@ -0,0 +1,219 @@
+package io.balsamlane.router.store;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.google.protobuf.ByteString;
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.core.membership.MemberView;
+import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.Place;
+import io.balsamlane.router.peer.PeerHandler;
+import io.balsamlane.router.peer.PeerNetwork;
+import io.balsamlane.router.peer.PeerReply;
+import io.balsamlane.schema.PeerMessage;
+import io.balsamlane.schema.StoreItem;
+import io.balsamlane.schema.StoreView;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a view that stays old after a failure, a lost history or an outage.
+ */
+class PrefixWatcherTests {
+
+	private final Vertx vertx = Vertx.vertx();
+
+	private final ScriptedPrefixStore store = new ScriptedPrefixStore();
+
+	private final OnePeer peer = new OnePeer();
+
+	private final List<String> heard = new CopyOnWriteArrayList<>();
+
+	@AfterEach
+	void close() throws Exception {
+		this.vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+	}
+
+	private void start() {
+		PrefixWatcher watcher = PrefixWatcher.create(this.vertx, this.store, "servers/", 100, new Recorder(),
+				PeerViews.create(this.peer));
+		this.vertx.runOnContext((ignored) -> watcher.start());
+	}
+
+	private void awaitHeard(String text) throws InterruptedException {
+		long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+		while (!this.heard.contains(text)) {
+			assertThat(System.nanoTime()).as("heard %s, waiting for %s", this.heard, text).isLessThan(limit);
+			Thread.sleep(5);
+		}
+	}
+
+	private static PrefixRead.Item item(String key) {
+		return new PrefixRead.Item("servers/" + key, key.getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Test
+	void changesFollowTheFullRead() throws Exception {
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("a")), 5));
+		this.store.answers.add(new PrefixRead.Changed(List.of(item("b")), 6));
+		start();
+		awaitHeard("changed [servers/b]");
+		assertThat(this.heard).containsSubsequence("listed [servers/a]", "changed [servers/b]");
+		assertThat(this.store.calls).containsSubsequence("list", "watch 5", "watch 6");
+	}
+
+	@Test
+	void lostHistoryLeadsToAFullRead() throws Exception {
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("a")), 5));
+		this.store.answers.add(new PrefixRead.HistoryLost());
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("b")), 9));
+		start();
+		awaitHeard("listed [servers/b]");
+		assertThat(this.heard).doesNotContain("lost");
+	}
+
+	@Test
+	void returnOfTheStoreIsMarked() throws Exception {
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("a")), 5));
+		this.store.answers.add(new PrefixRead.Unavailable("down"));
+		this.store.answers.add(new PrefixRead.Unavailable("down"));
+		this.store.answers.add(new PrefixRead.Listed(List.of(), 9));
+		start();
+		awaitHeard("listed [] after an outage");
+		assertThat(this.heard).containsSubsequence("listed [servers/a]", "lost", "regained",
+				"listed [] after an outage");
+	}
+
+	@Test
+	void routerThatStartsDuringAnOutageTakesThePeersView() throws Exception {
+		this.store.always = new PrefixRead.Unavailable("down");
+		this.peer.view = StoreView.newBuilder()
+			.setKnown(true)
+			.setAgeMillis(40)
+			.addItems(StoreItem.newBuilder().setKey("servers/p").setValue(ByteString.copyFromUtf8("p")))
+			.build();
+		start();
+		awaitHeard("listed [servers/p] after an outage");
+		awaitHeard("taken");
+	}
+
+	@Test
+	void olderViewOfAPeerIsNotTaken() throws Exception {
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("a")), 5));
+		this.store.always = new PrefixRead.Unavailable("down");
+		this.peer.view = StoreView.newBuilder().setKnown(true).setAgeMillis(60_000).build();
+		start();
+		awaitHeard("lost");
+		Thread.sleep(1500);
+		assertThat(this.peer.calls).isPositive();
+		assertThat(this.heard).doesNotContain("taken");
+	}
+
+	private final class Recorder implements PrefixWatcher.Listener {
+
+		@Override
+		public void listed(List<PrefixRead.Item> items, boolean afterOutage) {
+			PrefixWatcherTests.this.heard.add("listed " + items.stream().map(PrefixRead.Item::key).toList()
+					+ (afterOutage ? " after an outage" : ""));
+		}
+
+		@Override
+		public void changed(List<PrefixRead.Item> changes, boolean afterOutage) {
+			PrefixWatcherTests.this.heard.add("changed " + changes.stream().map(PrefixRead.Item::key).toList());
+		}
+
+		@Override
+		public void taken(long ageMillis) {
+			PrefixWatcherTests.this.heard.add("taken");
+		}
+
+		@Override
+		public void lost(String reason) {
+			PrefixWatcherTests.this.heard.add("lost");
+		}
+
+		@Override
+		public void regained() {
+			PrefixWatcherTests.this.heard.add("regained");
+		}
+
+	}
+
+	/** Gives its answers in turn, then the same one always or none. */
+	private static final class ScriptedPrefixStore implements PrefixStore {
+
+		private final Deque<PrefixRead> answers = new ArrayDeque<>();
+
+		private final List<String> calls = new CopyOnWriteArrayList<>();
+
+		private volatile PrefixRead always;
+
+		@Override
+		public Future<PrefixRead> list(String prefix) {
+			this.calls.add("list");
+			return next();
+		}
+
+		@Override
+		public Future<PrefixRead> watch(String prefix, long afterRevision, long waitMillis) {
+			this.calls.add("watch " + afterRevision);
+			return next();
+		}
+
+		private Future<PrefixRead> next() {
+			PrefixRead answer = this.answers.poll();
+			if (answer == null) {
+				answer = this.always;
+			}
+			return (answer != null) ? Future.succeededFuture(answer) : Promise.<PrefixRead>promise().future();
+		}
+
+	}
+
+	/** A network with one other router. */
+	private static final class OnePeer implements PeerNetwork {
+
+		private final Member self = new Member(HostName.of("self"), 1, Place.of("here"), Endpoint.of("127.0.0.1", 1));
+
+		private final Member other = new Member(HostName.of("other"), 1, Place.of("here"), Endpoint.of("127.0.0.1", 2));
+
+		private volatile StoreView view = StoreView.getDefaultInstance();
+
+		private volatile int calls;
+
+		@Override
+		public MemberView members() {
+			return new MemberView(this.self, new ArrayList<>(List.of(this.self, this.other)));
+		}
+
+		@Override
+		public void addMemberListener(Consumer<MemberView> listener) {
+		}
+
+		@Override
+		public Future<PeerReply> call(HostName to, PeerMessage.Builder message, long timeoutMillis) {
+			this.calls++;
+			return Future
+				.succeededFuture(new PeerReply.Answered(PeerMessage.newBuilder().setStoreView(this.view).build()));
+		}
+
+		@Override
+		public void register(PeerMessage.BodyCase body, PeerHandler handler) {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the store's views.
+ */
+package io.balsamlane.router.store;
