A broken stream waits for room from its last event on

Cause: the longest wait of a stream counted from the request's arrival, so a stream that broke after a few seconds and found all engines full was ended at once instead of going on at the next engine with room.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingRoute.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingRoute.java
@@ -22,6 +22,13 @@
 public record ForwardingRoute(String name, String host, String prefix, RequestKind kind, long timeoutMillis,
 		long targetMillis, int priority, List<WeightedService> targets, int maxAttempts, long pauseTargetMillis) {
 
+	/** How long callers of a stream wait for an event, from the platform's protocol. */
+	private static final long MIN_CALLER_PATIENCE_MILLIS = 2000;
+
+	private static final long TARGETS_OF_PATIENCE = 4;
+
+	private static final long PAUSES_OF_PATIENCE = 8;
+
 	public ForwardingRoute {
 		Objects.requireNonNull(name, "name");
 		Objects.requireNonNull(host, "host");
@@ -33,6 +40,15 @@
 		}
 	}
 
+	/**
+	 * Returns the time without an event after which callers abandon a stream.
+	 * @return the time in milliseconds
+	 */
+	public long callerPatienceMillis() {
+		return Math.max(MIN_CALLER_PATIENCE_MILLIS,
+				Math.max(TARGETS_OF_PATIENCE * this.targetMillis, PAUSES_OF_PATIENCE * this.pauseTargetMillis));
+	}
+
 	/**
 	 * Selects a service by weight.
 	 * @param point a number from 0 (inclusive) to 1 (exclusive) that stands for the
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ForwardingConfigurationTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ForwardingConfigurationTests.java
@@ -33,6 +33,19 @@
 		assertThat(configuration.route("other.org", "/a/")).isEmpty();
 	}
 
+	@Test
+	void callersPatienceIsTheLongestOfItsThreeTimes() {
+		ForwardingRoute quick = new ForwardingRoute("r", "h", "/", RequestKind.STREAM, 14_000, 300, 0,
+				List.of(target("a", 1)), 1, 100);
+		ForwardingRoute slow = new ForwardingRoute("r", "h", "/", RequestKind.STREAM, 14_000, 900, 0,
+				List.of(target("a", 1)), 1, 300);
+		ForwardingRoute pausing = new ForwardingRoute("r", "h", "/", RequestKind.STREAM, 14_000, 900, 0,
+				List.of(target("a", 1)), 1, 500);
+		assertThat(quick.callerPatienceMillis()).isEqualTo(2000);
+		assertThat(slow.callerPatienceMillis()).isEqualTo(3600);
+		assertThat(pausing.callerPatienceMillis()).isEqualTo(4000);
+	}
+
 	@Test
 	void requestsAreSplitByWeight() {
 		ForwardingRoute split = route("/", target("a", 90), target("b", 10), target("c", 0));
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -61,13 +61,6 @@
 	/** Time that a stream of middle length takes, left when a wait ends. */
 	private static final long TYPICAL_STREAM_MILLIS = 4000;
 
-	/** How long callers wait for a first event, from the platform's protocol. */
-	private static final long MIN_CALLER_PATIENCE_MILLIS = 2000;
-
-	private static final long TARGETS_OF_PATIENCE = 4;
-
-	private static final long PAUSES_OF_PATIENCE = 8;
-
 	/** Left for the start of a stream when a wait ends: a loaded prefill and paths. */
 	private static final long START_MARGIN_MILLIS = 800;
 
@@ -124,11 +117,14 @@
 	}
 
 	private void await() {
-		long targetNanos = startNanos() + (route().targetMillis() - TYPICAL_START_MILLIS) * NANOS_PER_MILLI;
-		long waitedMillis = (System.nanoTime() - startNanos()) / NANOS_PER_MILLI;
-		long longestMillis = Math.min(callerPatienceMillis() - START_MARGIN_MILLIS - waitedMillis,
-				remainingMillis() - TYPICAL_STREAM_MILLIS);
-		long giveUpNanos = System.nanoTime() + Math.max(0, longestMillis) * NANOS_PER_MILLI;
+		long nowNanos = System.nanoTime();
+		// A caller who has events already counts from the last one, and goes first.
+		long sinceNanos = this.headSent ? nowNanos : startNanos();
+		long targetNanos = sinceNanos + (route().targetMillis() - TYPICAL_START_MILLIS) * NANOS_PER_MILLI;
+		long waitedMillis = (nowNanos - sinceNanos) / NANOS_PER_MILLI;
+		long leftMillis = this.headSent ? remainingMillis() : remainingMillis() - TYPICAL_STREAM_MILLIS;
+		long longestMillis = Math.min(route().callerPatienceMillis() - START_MARGIN_MILLIS - waitedMillis, leftMillis);
+		long giveUpNanos = nowNanos + Math.max(0, longestMillis) * NANOS_PER_MILLI;
 		log("waiting", "waiting", parts().waiting().size(), "longest_millis", longestMillis);
 		if (longestMillis <= 0
 				|| !parts().waiting().add(service().name(), this, startNanos(), targetNanos, giveUpNanos)) {
@@ -136,12 +132,6 @@
 		}
 	}
 
-	// Callers abandon a stream whose first event does not come within this time.
-	private long callerPatienceMillis() {
-		return Math.max(MIN_CALLER_PATIENCE_MILLIS, Math.max(TARGETS_OF_PATIENCE * route().targetMillis(),
-				PAUSES_OF_PATIENCE * route().pauseTargetMillis()));
-	}
-
 	/**
 	 * Ends a request that has waited for its longest time.
 	 */
@@ -506,13 +496,4 @@
 		endDecode();
 	}
 
-	/**
-	 * KV cache of a prompt that was read.
-	 *
-	 * @param engine engine that keeps it
-	 * @param handle its name there
-	 */
-	private record KvCache(ListedServer engine, String handle) {
-	}
-
 }
