PrefixWatcherTests waits for the watch that follows a change

The failure's own output shows it: two calls at the check, three when it was printed. The test now waits for the condition; what it checks is the same.

--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
@@ -54,9 +54,13 @@
 	}
 
 	private void awaitHeard(String text) throws InterruptedException {
+		await(this.heard, text);
+	}
+
+	private static void await(List<String> texts, String text) throws InterruptedException {
 		long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-		while (!this.heard.contains(text)) {
-			assertThat(System.nanoTime()).as("heard %s, waiting for %s", this.heard, text).isLessThan(limit);
+		while (!texts.contains(text)) {
+			assertThat(System.nanoTime()).as("%s, waiting for %s", texts, text).isLessThan(limit);
 			Thread.sleep(5);
 		}
 	}
@@ -72,6 +76,8 @@
 		start();
 		awaitHeard("changed [servers/b]");
 		assertThat(this.heard).containsSubsequence("listed [servers/a]", "changed [servers/b]");
+		// The next watch starts after the listener has returned.
+		await(this.store.calls, "watch 6");
 		assertThat(this.store.calls).containsSubsequence("list", "watch 5", "watch 6");
 	}
 
