Known red tests traced: silent engines, crashing requests, late orders, lost bodies

Causes, each from a trace or a repeated run: - Streams ended with no-engine on a loaded machine. An engine whose probe was silent for 300 ms counted as dead for 5 s, also when it was the last of its pool. Silent and failing engines are now a last resort; leaving and gone ones are not. The suspects of a death were retried at the same moment, so the rule to avoid each other's servers saw nobody running; and suspects of another router were never cleared. Now suspects have turns, which all routers compute alike, and run on different servers; a router tells the others whom it has cleared; the decision intersects all deaths of a request, not pairs. The proof now waits for the order that it is about and looks at its fencing number. It now waits for the second question.

Ruled out: a fault of the quarantine's decision itself (its inputs were wrong), a blocked event loop (stack traces: all idle).

--- a/balsamlane-core/src/main/java/io/balsamlane/core/retry/Quarantine.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/retry/Quarantine.java
@@ -13,13 +13,14 @@
 /**
  * Finds requests that crash the backend servers that run them.
  * <p>
- * Each death of a server names the fingerprints that ran on it. Two deaths of different
- * servers quarantine a fingerprint only if it is the only one that they have in common,
- * so a bystander that shared both servers with the culprit is not taken for it. A
- * fingerprint that completes, or that gets {@value #CLEARING_TOKENS} tokens further than
- * where a server died, did not cause that death, so servers that are killed one after the
- * other do not quarantine the requests that move between them. Not safe for use by
- * several threads.
+ * Each death of a server names the fingerprints that ran on it. A fingerprint that two
+ * servers or more died with is quarantined only if it is the only one that all its deaths
+ * have in common, so a bystander that shared both servers with the culprit is not taken
+ * for it. Suspects that cannot be told apart yet have turns: run on different servers,
+ * the next death tells them apart. A fingerprint that completes, or that gets
+ * {@value #CLEARING_TOKENS} tokens further than where a server died, did not cause that
+ * death, so servers that are killed one after the other do not quarantine the requests
+ * that move between them. Not safe for use by several threads.
  */
 public final class Quarantine {
 
@@ -101,22 +102,29 @@
 	 * Records progress of a request.
 	 * @param fingerprint the request
 	 * @param delivered tokens that it has yielded
+	 * @return true if it was suspected and is not any more
 	 */
-	public void progressed(long fingerprint, int delivered) {
-		this.deaths.forEach((death) -> {
+	public boolean progressed(long fingerprint, int delivered) {
+		boolean cleared = false;
+		for (Death death : this.deaths) {
 			Integer atDeath = death.suspects.get(fingerprint);
 			if (atDeath != null && delivered - CLEARING_TOKENS >= atDeath) {
 				death.suspects.remove(fingerprint);
+				cleared = true;
 			}
-		});
+		}
+		return cleared && deaths(fingerprint) == 0;
 	}
 
 	/**
-	 * Records that a request was completed.
+	 * Records that a request was completed, here or by another router.
 	 * @param fingerprint the request
+	 * @return true if it was suspected
 	 */
-	public void completed(long fingerprint) {
+	public boolean completed(long fingerprint) {
+		boolean suspected = deaths(fingerprint) > 0;
 		this.deaths.forEach((death) -> death.suspects.remove(fingerprint));
+		return suspected;
 	}
 
 	/**
@@ -126,26 +134,31 @@
 	 * @return the number of different servers
 	 */
 	public int deaths(long fingerprint) {
-		return (int) this.deaths.stream()
-			.filter((death) -> death.suspects.containsKey(fingerprint))
-			.map((death) -> death.server)
-			.distinct()
-			.count();
+		return servers(fingerprint).size();
 	}
 
 	/**
-	 * Returns the requests that share a suspicion with a request and should run on other
-	 * servers, so that the next death tells them apart.
+	 * Returns the turn of a request among those that cannot be told from it, because they
+	 * shared all its deaths. Routers that know of the same deaths agree on the turns.
 	 * @param fingerprint the request
-	 * @return the others
+	 * @return the turn, 0 for the first and for a request that is not suspected
 	 */
-	public Set<Long> companions(long fingerprint) {
-		Set<Long> others = new HashSet<>();
-		this.deaths.stream()
-			.filter((death) -> death.suspects.containsKey(fingerprint))
-			.forEach((death) -> others.addAll(death.suspects.keySet()));
-		others.remove(fingerprint);
-		return others;
+	public int turn(long fingerprint) {
+		return (int) alike(fingerprint).stream().filter((other) -> other < fingerprint).count();
+	}
+
+	// Returns the requests that all deaths of a request have in common, itself included.
+	private Set<Long> alike(long fingerprint) {
+		Set<Long> common = null;
+		for (Death death : this.deaths) {
+			if (death.suspects.containsKey(fingerprint)) {
+				if (common == null) {
+					common = new HashSet<>(death.suspects.keySet());
+				}
+				common.retainAll(death.suspects.keySet());
+			}
+		}
+		return (common != null) ? common : Set.of();
 	}
 
 	/**
@@ -155,27 +168,23 @@
 	 * @return the new decisions
 	 */
 	public List<Decision> decide(long nowNanos) {
-		Map<Long, Set<String>> found = new HashMap<>();
-		List<Death> ordered = List.copyOf(this.deaths);
-		for (int later = 1; later < ordered.size(); later++) {
-			for (int earlier = 0; earlier < later; earlier++) {
-				Death first = ordered.get(earlier);
-				Death second = ordered.get(later);
-				Set<Long> common = new HashSet<>(first.suspects.keySet());
-				common.retainAll(second.suspects.keySet());
-				if (!first.server.equals(second.server) && common.size() == 1) {
-					Long fingerprint = common.iterator().next();
-					if (second.own.contains(fingerprint) && !refuses(fingerprint, nowNanos)) {
-						found.computeIfAbsent(fingerprint, (key) -> new HashSet<>())
-							.addAll(List.of(first.server, second.server));
-					}
-				}
-			}
-		}
-		found.keySet().forEach((fingerprint) -> accept(fingerprint, this.retentionNanos, nowNanos));
-		return found.entrySet()
-			.stream()
-			.map((entry) -> new Decision(entry.getKey(), entry.getValue().stream().sorted().toList()))
+		List<Decision> found = this.deaths.stream()
+			.flatMap((death) -> death.own.stream())
+			.distinct()
+			.filter((fingerprint) -> deaths(fingerprint) > 1 && alike(fingerprint).size() == 1)
+			.filter((fingerprint) -> !refuses(fingerprint, nowNanos))
+			.map((fingerprint) -> new Decision(fingerprint, servers(fingerprint)))
+			.toList();
+		found.forEach((decision) -> accept(decision.fingerprint(), this.retentionNanos, nowNanos));
+		return found;
+	}
+
+	private List<String> servers(long fingerprint) {
+		return this.deaths.stream()
+			.filter((death) -> death.suspects.containsKey(fingerprint))
+			.map((death) -> death.server)
+			.distinct()
+			.sorted()
 			.toList();
 	}
 
--- a/balsamlane-core/src/main/java/io/balsamlane/core/retry/ServerAvailability.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/retry/ServerAvailability.java
@@ -88,14 +88,27 @@
 	}
 
 	/**
-	 * Records that the server's process is gone: it is paused at once.
+	 * Records that the server's process is gone: it is paused at once, also as a last
+	 * resort.
 	 * @param server the server
 	 * @param nowNanos the current time
 	 */
 	public void died(String server, long nowNanos) {
+		silent(server, nowNanos);
+		signals(server).gone = true;
+	}
+
+	/**
+	 * Records that the server answers nothing, which a frozen server and a slow one have
+	 * in common: it is paused at once.
+	 * @param server the server
+	 * @param nowNanos the current time
+	 */
+	public void silent(String server, long nowNanos) {
 		Signals signals = signals(server);
 		signals.failures = Math.max(signals.failures + 1, this.failuresBeforePause);
 		signals.failedNanos = nowNanos;
+		signals.gone = false;
 	}
 
 	/**
@@ -118,13 +131,28 @@
 	 */
 	public boolean available(String server, long nowNanos) {
 		Signals signals = this.servers.get(server);
-		if (signals == null) {
-			return true;
-		}
+		return signals == null || (!leaving(signals, nowNanos) && !paused(signals, nowNanos));
+	}
+
+	/**
+	 * Tells whether a server may get new work if no other is available: a paused server
+	 * may have recovered, one that is leaving or gone has not.
+	 * @param server the server
+	 * @param nowNanos the current time
+	 * @return true if nothing but its failures speaks against it
+	 */
+	public boolean availableAsLastResort(String server, long nowNanos) {
+		Signals signals = this.servers.get(server);
+		return signals == null || (!leaving(signals, nowNanos) && !(signals.gone && paused(signals, nowNanos)));
+	}
+
+	private boolean leaving(Signals signals, long nowNanos) {
 		boolean saidLeaving = signals.saidLeaving && nowNanos - signals.saidLeavingNanos < this.leavingNanos;
-		boolean paused = signals.failures >= this.failuresBeforePause
-				&& nowNanos - signals.failedNanos < this.pauseNanos;
-		return !signals.listedLeaving && !saidLeaving && !paused;
+		return signals.listedLeaving || saidLeaving;
+	}
+
+	private boolean paused(Signals signals, long nowNanos) {
+		return signals.failures >= this.failuresBeforePause && nowNanos - signals.failedNanos < this.pauseNanos;
 	}
 
 	private Signals signals(String server) {
@@ -143,6 +171,8 @@
 
 		private long failedNanos;
 
+		private boolean gone;
+
 	}
 
 }
--- a/balsamlane-core/src/test/java/io/balsamlane/core/retry/QuarantineTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/retry/QuarantineTests.java
@@ -38,11 +38,45 @@
 		this.quarantine.died("e1", Map.of(CULPRIT, 0, BYSTANDER, 5), 0);
 		this.quarantine.died("e2", Map.of(CULPRIT, 0, BYSTANDER, 5), 10 * SECOND);
 		assertThat(this.quarantine.decide(11 * SECOND)).isEmpty();
-		assertThat(this.quarantine.companions(CULPRIT)).containsExactly(BYSTANDER);
+		assertThat(this.quarantine.turn(CULPRIT)).isZero();
+		assertThat(this.quarantine.turn(BYSTANDER)).isEqualTo(1);
 		this.quarantine.died("e3", Map.of(CULPRIT, 0), 20 * SECOND);
 		assertThat(this.quarantine.decide(21 * SECOND)).extracting(Decision::fingerprint).containsExactly(CULPRIT);
 	}
 
+	@Test
+	void thirdDeathDecidesAlthoughEachPairOfDeathsHasABystanderInCommon() {
+		this.quarantine.died("e1", Map.of(CULPRIT, 0, 3L, 0, 4L, 0), 0);
+		this.quarantine.died("e2", Map.of(CULPRIT, 0, 3L, 0, 5L, 0), 10 * SECOND);
+		this.quarantine.died("e3", Map.of(CULPRIT, 0, 4L, 0, 5L, 0), 20 * SECOND);
+		assertThat(this.quarantine.decide(21 * SECOND))
+			.containsExactly(new Decision(CULPRIT, List.of("e1", "e2", "e3")));
+	}
+
+	@Test
+	void bystanderThatAnotherRouterClearsNoLongerHidesTheCulprit() {
+		this.quarantine.died("e1", Map.of(CULPRIT, 0), 0);
+		this.quarantine.reported("e1", List.of(BYSTANDER), 0);
+		this.quarantine.died("e2", Map.of(CULPRIT, 0), 10 * SECOND);
+		this.quarantine.reported("e2", List.of(BYSTANDER), 10 * SECOND);
+		assertThat(this.quarantine.decide(11 * SECOND)).isEmpty();
+		assertThat(this.quarantine.completed(BYSTANDER)).isTrue();
+		assertThat(this.quarantine.completed(BYSTANDER)).isFalse();
+		assertThat(this.quarantine.decide(11 * SECOND)).extracting(Decision::fingerprint).containsExactly(CULPRIT);
+	}
+
+	@Test
+	void suspectsOfOneDeathHaveDifferentTurnsAtEveryRouter() {
+		Quarantine other = Quarantine.create(8, 4, 3 * SECOND, 600 * SECOND);
+		this.quarantine.died("e1", Map.of(9L, 0, CULPRIT, 0), 0);
+		this.quarantine.reported("e1", List.of(5L), SECOND);
+		other.died("e1", Map.of(5L, 0), 0);
+		other.reported("e1", List.of(CULPRIT, 9L), SECOND);
+		for (Quarantine router : List.of(this.quarantine, other)) {
+			assertThat(List.of(router.turn(CULPRIT), router.turn(5L), router.turn(9L))).containsExactly(0, 1, 2);
+		}
+	}
+
 	@Test
 	void bystanderOnAnotherRouterIsNotTakenForTheCulprit() {
 		this.quarantine.died("e1", Map.of(BYSTANDER, 5), 0);
--- a/balsamlane-core/src/test/java/io/balsamlane/core/retry/ServerAvailabilityTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/retry/ServerAvailabilityTests.java
@@ -54,6 +54,26 @@
 	void deathPausesAtOnce() {
 		this.availability.died(SERVER, 0);
 		assertThat(this.availability.available(SERVER, 1)).isFalse();
+		assertThat(this.availability.availableAsLastResort(SERVER, 1)).isFalse();
+		assertThat(this.availability.availableAsLastResort(SERVER, 100)).isTrue();
+	}
+
+	@Test
+	void silentOrFailingServerIsALastResort() {
+		this.availability.silent(SERVER, 0);
+		assertThat(this.availability.available(SERVER, 1)).isFalse();
+		assertThat(this.availability.availableAsLastResort(SERVER, 1)).isTrue();
+		this.availability.died(SERVER, 2);
+		this.availability.silent(SERVER, 3);
+		assertThat(this.availability.availableAsLastResort(SERVER, 4)).isTrue();
+	}
+
+	@Test
+	void leavingServerIsNoLastResort() {
+		this.availability.saidLeaving(SERVER, 0);
+		assertThat(this.availability.availableAsLastResort(SERVER, 1)).isFalse();
+		this.availability.listed("decode-2", true);
+		assertThat(this.availability.availableAsLastResort("decode-2", 1)).isFalse();
 	}
 
 }
--- a/balsamlane-proofs/src/test/java/io/balsamlane/proofs/OrdersProofTests.java
+++ b/balsamlane-proofs/src/test/java/io/balsamlane/proofs/OrdersProofTests.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
@@ -104,11 +105,16 @@
 			fleet.router("router-2", "doto-a", "doto", SETTINGS);
 			fleet.apply(pool("v1", checksFencing));
 			awaitModel(fleet, "v1", 1);
+			// Adapters are ordered after the model; the held order must be that of v2.
+			Fleet.await("the adapters of v1 are loaded", LIMIT,
+					() -> book(fleet, 0).getJsonArray("adapters").contains("letters")
+							&& book(fleet, 0).getInteger("pendingOrders") == 0);
 			RouterProcess first = holder(fleet);
 			RouterProcess second = other(fleet, first);
 			steer(fleet, new JsonObject().put("hold", true));
 			apply(second, pool("v2", checksFencing), EVERYWHERE);
-			Fleet.await("the order of the holder is held", LIMIT, () -> book(fleet, 0).getInteger("heldOrders") > 0);
+			Fleet.await("the order of the holder to load v2 is held", LIMIT, () -> heldLoad(fleet).isPresent());
+			long heldFencing = heldLoad(fleet).orElseThrow().getLong("fencing");
 			first.process().kill();
 			steer(fleet, new JsonObject().put("hold", false));
 			apply(second, pool("v3", checksFencing), NOT_EVERYWHERE);
@@ -116,6 +122,8 @@
 			steer(fleet, new JsonObject().put("release", true));
 			List<JsonObject> late = orders(fleet, 0).stream()
 				.filter((order) -> order.getString("value").equals("v2"))
+				// The successor may order v2 before it learns of v3.
+				.filter((order) -> order.getLong("fencing") == heldFencing)
 				.toList();
 			assertThat(late).isNotEmpty().allMatch((order) -> order.getBoolean("accepted") != checksFencing);
 			Fleet.await("the last accepted order loads v3 or its adapters", LIMIT, () -> {
@@ -192,13 +200,22 @@
 		return new JsonObject(fleet.inspect("engine-" + engine, "orders"));
 	}
 
+	private static Optional<JsonObject> heldLoad(Fleet fleet) {
+		return objects(book(fleet, 0).getJsonArray("heldOrders")).stream()
+			.filter((order) -> order.getString("value").equals("v2"))
+			.findFirst();
+	}
+
 	private static String model(Fleet fleet, int engine) {
 		return book(fleet, engine).getString("model");
 	}
 
 	private static List<JsonObject> orders(Fleet fleet, int engine) {
-		JsonArray orders = book(fleet, engine).getJsonArray("orders");
-		return IntStream.range(0, orders.size()).mapToObj(orders::getJsonObject).toList();
+		return objects(book(fleet, engine).getJsonArray("orders"));
+	}
+
+	private static List<JsonObject> objects(JsonArray array) {
+		return IntStream.range(0, array.size()).mapToObj(array::getJsonObject).toList();
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/ModelExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/ModelExchange.java
@@ -37,6 +37,9 @@
 
 	private static final int MAX_REFUSAL_PAUSE_MILLIS = 250;
 
+	/** Longest time for which a suspected request waits until it can run apart. */
+	private static final long MAX_TURN_WAIT_NANOS = 3_000_000_000L;
+
 	private final ModelPath path;
 
 	private final ModelRequest request;
@@ -143,8 +146,8 @@
 	}
 
 	// Collects the servers that the next attempt must avoid. Exclusions that only say
-	// that a server failed this request, or runs another suspect, are dropped if no
-	// server would be left.
+	// that a server failed this request are dropped if no server would be left. A
+	// suspected request has one server of each kind.
 	private Set<String> excluded() {
 		Set<String> hard = new HashSet<>(this.path.health().unavailable(names(this.route.prefill())));
 		hard.addAll(this.path.health().unavailable(names(this.route.decode())));
@@ -158,8 +161,15 @@
 			return failed;
 		}
 		Set<String> apart = new HashSet<>(failed);
-		apart.addAll(this.path.health().serversOfCompanions(this.request.fingerprint()));
-		return leavesChoice(apart) ? apart : failed;
+		apart.addAll(othersThanOwn(names(this.route.prefill()), failed));
+		apart.addAll(othersThanOwn(names(this.route.decode()), failed));
+		return apart;
+	}
+
+	private List<String> othersThanOwn(List<String> servers, Set<String> excluded) {
+		List<String> choice = servers.stream().filter((server) -> !excluded.contains(server)).toList();
+		Optional<String> own = this.path.health().serverApart(this.request.fingerprint(), choice);
+		return choice.stream().filter((server) -> !server.equals(own.orElse(null))).toList();
 	}
 
 	private boolean leavesChoice(Set<String> excluded) {
@@ -184,8 +194,9 @@
 			update(granted, GrantUpdate.Kind.RELEASED, "");
 			return;
 		}
-		if (prefill.isEmpty() || decode.isEmpty() || !this.path.health().available(reply.getPrefillServer())
-				|| !this.path.health().available(reply.getDecodeServer())) {
+		if (prefill.isEmpty() || decode.isEmpty()
+				|| this.path.health().unavailable(names(this.route.prefill())).contains(reply.getPrefillServer())
+				|| this.path.health().unavailable(names(this.route.decode())).contains(reply.getDecodeServer())) {
 			// An engine may have said that it leaves while the request was queued.
 			update(granted, GrantUpdate.Kind.RELEASED, "");
 			refused("a granted engine takes no new work");
@@ -394,20 +405,33 @@
 		}
 		if (result == ProbeResult.REFUSED) {
 			this.suspected = true;
-			this.path.health().mayRunAgain(this.request.fingerprint()).onSuccess((allowed) -> {
-				if (allowed) {
-					again();
-				}
-				else if (!this.done) {
-					fail(ErrorKind.QUARANTINED.text(), "two engines died while they ran the request", 0);
-				}
-			});
+			againInTurn(System.nanoTime() + MAX_TURN_WAIT_NANOS);
 		}
 		else {
 			again();
 		}
 	}
 
+	private void againInTurn(long limitNanos) {
+		this.path.health().mayRunAgain(this.request.fingerprint()).onSuccess((allowed) -> {
+			if (this.done) {
+				return;
+			}
+			List<String> decode = names(this.route.decode());
+			int choice = decode.size() - this.path.health().unavailable(decode).size();
+			if (!allowed) {
+				fail(ErrorKind.QUARANTINED.text(), "engines died while they ran the request", 0);
+			}
+			else if (this.path.health().hasTurn(this.request.fingerprint(), choice)
+					|| System.nanoTime() - limitNanos > 0) {
+				again();
+			}
+			else {
+				againInTurn(limitNanos);
+			}
+		});
+	}
+
 	private void again() {
 		if (this.done) {
 			return;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineHealth.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineHealth.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.IntSupplier;
 
@@ -24,6 +25,7 @@
 import io.balsamlane.schema.PeerMessage;
 import io.balsamlane.schema.QuarantineNotice;
 import io.balsamlane.schema.ServerDeath;
+import io.balsamlane.schema.SuspicionCleared;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -45,6 +47,9 @@
 
 	private static final int NOTICE_TRIES = 4;
 
+	/** Requests that are cleared within this time are told together. */
+	private static final int GATHER_MILLIS = 50;
+
 	private static final long MERGE_NANOS = 3_000_000_000L;
 
 	private static final long LEAVING_NANOS = 600_000_000_000L;
@@ -75,6 +80,8 @@
 
 	private final Map<Endpoint, Future<ProbeResult>> probes = new HashMap<>();
 
+	private final Set<Long> untoldCleared = new HashSet<>();
+
 	private EngineHealth(Context context, EngineClient engines, PeerNetwork network, Timeline timeline,
 			EngineSettings settings) {
 		this.context = context;
@@ -90,6 +97,8 @@
 		network.register(PeerMessage.BodyCase.SERVER_DEATH,
 				(from, message) -> onContext(() -> this.quarantine.reported(message.getServerDeath().getServer(),
 						message.getServerDeath().getFingerprintsList(), System.nanoTime())));
+		network.register(PeerMessage.BodyCase.SUSPICION_CLEARED, (from, message) -> onContext(
+				() -> message.getSuspicionCleared().getFingerprintsList().forEach(this.quarantine::completed)));
 		network.register(PeerMessage.BodyCase.QUARANTINE_NOTICE,
 				(from, message) -> onContext(() -> learn(message.getQuarantineNotice())));
 	}
@@ -217,12 +226,16 @@
 			this.availability.failed(server, nowNanos);
 			return;
 		}
+		if (result == ProbeResult.SILENT) {
+			this.availability.silent(server, nowNanos);
+			return;
+		}
 		this.availability.died(server, nowNanos);
 		Map<Long, Integer> suspects = new HashMap<>();
 		this.running.getOrDefault(server, Map.of())
 			.values()
 			.forEach((attempt) -> suspects.merge(attempt.fingerprint(), attempt.delivered().getAsInt(), Math::max));
-		if (result != ProbeResult.REFUSED || suspects.isEmpty()) {
+		if (suspects.isEmpty()) {
 			return;
 		}
 		this.quarantine.died(server, suspects, nowNanos);
@@ -309,7 +322,9 @@
 	 * @param delivered tokens that it has yielded
 	 */
 	public void progressed(long fingerprint, int delivered) {
-		this.quarantine.progressed(fingerprint, delivered);
+		if (this.quarantine.progressed(fingerprint, delivered)) {
+			tellCleared(fingerprint);
+		}
 	}
 
 	/**
@@ -317,35 +332,59 @@
 	 * @param fingerprint the request
 	 */
 	public void completed(long fingerprint) {
-		this.quarantine.completed(fingerprint);
+		if (this.quarantine.completed(fingerprint)) {
+			tellCleared(fingerprint);
+		}
+	}
+
+	private void tellCleared(long fingerprint) {
+		if (this.untoldCleared.isEmpty()) {
+			this.vertx.setTimer(GATHER_MILLIS, (id) -> {
+				broadcast(PeerMessage.newBuilder()
+					.setSuspicionCleared(SuspicionCleared.newBuilder().addAllFingerprints(this.untoldCleared))
+					.build());
+				this.untoldCleared.clear();
+			});
+		}
+		this.untoldCleared.add(fingerprint);
 	}
 
 	/**
-	 * Returns the servers that run requests which share a suspicion with a request. The
-	 * request should run elsewhere, so that another death tells them apart.
+	 * Chooses the server on which a suspected request runs apart from the others, so that
+	 * another death tells them apart.
 	 * @param fingerprint the request
-	 * @return the servers
+	 * @param servers the servers that may run it
+	 * @return the server, empty if there is none
 	 */
-	public Set<String> serversOfCompanions(long fingerprint) {
-		Set<Long> companions = this.quarantine.companions(fingerprint);
-		Set<String> servers = new HashSet<>();
-		if (!companions.isEmpty()) {
-			this.running.forEach((server, attempts) -> {
-				if (attempts.values().stream().anyMatch((attempt) -> companions.contains(attempt.fingerprint()))) {
-					servers.add(server);
-				}
-			});
-		}
-		return servers;
+	public Optional<String> serverApart(long fingerprint, List<String> servers) {
+		List<String> ordered = servers.stream().distinct().sorted().toList();
+		return ordered.isEmpty() ? Optional.empty()
+				: Optional.of(ordered.get(this.quarantine.turn(fingerprint) % ordered.size()));
+	}
+
+	/**
+	 * Tells whether a suspected request can run apart from the others now. After one
+	 * death there may be more suspects than servers, after two each runs alone.
+	 * @param fingerprint the request
+	 * @param servers number of servers that may run it
+	 * @return false if it should wait until others are cleared
+	 */
+	public boolean hasTurn(long fingerprint, int servers) {
+		return this.quarantine.deaths(fingerprint) < 2 || this.quarantine.turn(fingerprint) < servers;
 	}
 
 	/**
-	 * Returns the servers among some that must not get new work.
+	 * Returns the servers among some that should not get new work. If that leaves none,
+	 * only those are named that must not, because they are leaving or gone.
 	 * @param servers the servers
-	 * @return those that are not available
+	 * @return the servers to avoid
 	 */
 	public List<String> unavailable(List<String> servers) {
-		return servers.stream().filter((server) -> !available(server)).toList();
+		List<String> avoided = servers.stream().filter((server) -> !available(server)).toList();
+		return (avoided.size() < servers.size()) ? avoided
+				: servers.stream()
+					.filter((server) -> !this.availability.availableAsLastResort(server, System.nanoTime()))
+					.toList();
 	}
 
 	private record Running(long fingerprint, IntSupplier delivered) {
--- a/balsamlane-router/src/test/java/io/balsamlane/router/edge/ModelStreamTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/edge/ModelStreamTests.java
@@ -7,6 +7,7 @@
 
 import io.balsamlane.standin.engine.Prompt;
 import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
@@ -14,7 +15,6 @@
 import io.vertx.core.http.HttpVersion;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonObject;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -45,9 +45,14 @@
 	}
 
 	private static Future<String> stream(EdgeFixture fixture, HttpClient client, String prompt) {
-		return post(fixture, client).compose((request) -> request.send(body(prompt).toBuffer()))
-			.compose((response) -> response.body())
-			.map((answer) -> text(answer.toString()));
+		return send(fixture, client, prompt).map((answer) -> text(answer.toString()));
+	}
+
+	// The body is asked for where the response arrives: on another event loop its bytes
+	// could come first and be lost.
+	private static Future<Buffer> send(EdgeFixture fixture, HttpClient client, String prompt) {
+		return post(fixture, client)
+			.compose((request) -> request.send(body(prompt).toBuffer()).compose((response) -> response.body()));
 	}
 
 	private static String text(String events) {
@@ -69,7 +74,6 @@
 	}
 
 	@Test
-	@Tag("known-red")
 	void hundredsOfStreamsAreWholeWhileEnginesDie() {
 		try (EdgeFixture fixture = EdgeFixture.withEngines(3, 6).start(EdgeFixture.settings().build())) {
 			HttpClient client = client(fixture, HttpVersion.HTTP_1_1);
@@ -154,11 +158,27 @@
 		}
 	}
 
+	@Test
+	void onlyEngineThatWasSilentGetsWorkAgainBeforeItsPauseEnds() {
+		try (EdgeFixture fixture = EdgeFixture.withEngines(1, 1).start(EdgeFixture.settings().build())) {
+			HttpClient client = client(fixture, HttpVersion.HTTP_1_1);
+			fixture.faults("decode-1", new JsonObject().put("frozen", true));
+			Future<String> interrupted = stream(fixture, client, prompt(1));
+			EdgeFixture.awaitThat("the engine is paused",
+					() -> fixture.events("router-1-1-0").contains("ATTEMPT_FAILED"));
+			EdgeFixture.sleep(EdgeFixture.settings().getEngines().getProbeTimeoutMillis() + 100);
+			fixture.faults("decode-1", new JsonObject().put("frozen", false));
+			long startedNanos = System.nanoTime();
+			assertThat(EdgeFixture.await(stream(fixture, client, prompt(2))))
+				.isEqualTo(Prompt.parse(prompt(2)).answer(MAX_TOKENS));
+			assertThat(EdgeFixture.await(interrupted)).isEqualTo(Prompt.parse(prompt(1)).answer(MAX_TOKENS));
+			assertThat(System.nanoTime() - startedNanos)
+				.isLessThan(EdgeFixture.settings().getEngines().getFailurePauseMillis() * 1_000_000L);
+		}
+	}
+
 	private static JsonObject refusal(EdgeFixture fixture, HttpClient client, String prompt) {
-		return EdgeFixture
-			.await(post(fixture, client).compose((request) -> request.send(body(prompt).toBuffer()))
-				.compose((response) -> response.body()))
-			.toJsonObject();
+		return EdgeFixture.await(send(fixture, client, prompt)).toJsonObject();
 	}
 
 }
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
@@ -123,8 +123,13 @@
 		this.peer.view = StoreView.newBuilder().setKnown(true).setAgeMillis(60_000).build();
 		start();
 		awaitHeard("lost");
-		Thread.sleep(1500);
-		assertThat(this.peer.calls).isPositive();
+		// The peer answers at once, so the first view has been weighed before it is asked
+		// again.
+		long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+		while (this.peer.calls < 2) {
+			assertThat(System.nanoTime()).as("waiting for two questions").isLessThan(limit);
+			Thread.sleep(5);
+		}
 		assertThat(this.heard).doesNotContain("taken");
 	}
 
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineOrderBook.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/engine/EngineOrderBook.java
@@ -46,7 +46,7 @@
 
 	private long busyUntilNanos = System.nanoTime();
 
-	private final List<Runnable> heldOrders = new ArrayList<>();
+	private final List<HeldOrder> heldOrders = new ArrayList<>();
 
 	private boolean holding;
 
@@ -76,7 +76,7 @@
 			request.body().onSuccess((body) -> {
 				JsonObject order = body.toJsonObject();
 				if (this.holding) {
-					this.heldOrders.add(() -> order(request.response(), order));
+					this.heldOrders.add(new HeldOrder(request.response(), order));
 				}
 				else {
 					order(request.response(), order);
@@ -148,14 +148,15 @@
 			return false;
 		}
 		if (request.method() == HttpMethod.GET) {
-			send(request.response(), 200, state().put("orders", this.log).put("heldOrders", this.heldOrders.size()));
+			send(request.response(), 200, state().put("orders", this.log)
+				.put("heldOrders", new JsonArray(this.heldOrders.stream().map(HeldOrder::order).toList())));
 			return true;
 		}
 		request.body().onSuccess((body) -> {
 			JsonObject faults = body.toJsonObject();
 			this.holding = faults.getBoolean("hold", this.holding);
 			if (faults.getBoolean("release", false)) {
-				this.heldOrders.forEach(Runnable::run);
+				this.heldOrders.forEach((held) -> order(held.response(), held.order()));
 				this.heldOrders.clear();
 			}
 			send(request.response(), 200, new JsonObject());
@@ -163,4 +164,7 @@
 		return true;
 	}
 
+	private record HeldOrder(HttpServerResponse response, JsonObject order) {
+	}
+
 }
