A prompt whose prefill failed is read on another prefill engine

Cause: after one failed prefill the prompt was read where its answer is generated. Of 37 refused prefills 17 went to one engine that our own order had taken out for six seconds: a refusal by a prefill engine was never held against it, and no success cleared an earlier failure of an engine that read or fetched for others.

Now: up to two prefill engines are tried; one that refuses with hardly anything waiting is avoided for a while; success of any kind ends the memory of failures.

Ruled out: the step time of full batches (median of the longest pause 124 ms), the move of the cache.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -281,6 +281,14 @@
 		observed(engine).took(actualMillis / Math.max(1, expectedMillis), nowNanos);
 	}
 
+	/**
+	 * Notes that an engine did its work.
+	 * @param engine the engine
+	 */
+	public void succeeded(ServerName engine) {
+		observed(engine).failures = 0;
+	}
+
 	/**
 	 * Notes that an engine failed a request.
 	 * @param engine the engine
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/SharedLoadPlacementTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/SharedLoadPlacementTests.java
@@ -91,6 +91,18 @@
 				(whole) -> assertThat(whole.decode()).isEqualTo(broken));
 	}
 
+	@Test
+	void engineThatWorksInBetweenIsNotAvoidedForLonger() {
+		ListedServer now = ForwardingFixture.decode("d", "here");
+		ListedServer other = ForwardingFixture.decode("other", "there");
+		for (int failure = 0; failure < 4; failure++) {
+			this.placement.failed(now.name(), failure * 10 * SECOND);
+			this.placement.succeeded(now.name());
+		}
+		assertThat(choose(List.of(now, other), 32 * SECOND)).isInstanceOfSatisfying(EngineChoice.Whole.class,
+				(whole) -> assertThat(whole.decode()).isEqualTo(now));
+	}
+
 	@Test
 	void requestThatCannotStartBeforeItsDeadlineIsNotPlaced() {
 		ListedServer decode = ForwardingFixture.decode("d", "here");
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -55,6 +55,12 @@
 	/** An engine that holds less than this share of its KV cache has room for sure. */
 	private static final double ROOMY = 0.7;
 
+	/** A prefill engine with fewer prompts than this has room: it keeps two waiting. */
+	private static final int ROOMY_PROMPTS = 2;
+
+	/** Failed prefills after which a prompt is read where its answer is generated. */
+	private static final int MAX_FAILED_PREFILLS = 2;
+
 	/** Time from placing to the first event, without a queue. */
 	private static final long TYPICAL_START_MILLIS = 250;
 
@@ -83,6 +89,8 @@
 
 	private EventSplitter splitter;
 
+	private final StreamPace pace = new StreamPace();
+
 	private KvCache cache;
 
 	private long attemptNanos;
@@ -95,7 +103,9 @@
 
 	private boolean headSent;
 
-	private boolean mayMove = true;
+	private int failedPrefills;
+
+	private boolean resumed;
 
 	StreamExchange(ForwardingParts parts, HttpServerRequest request, RequestFacts facts, ForwardingRoute route,
 			ForwardedService service, Buffer body, long startNanos) {
@@ -156,7 +166,8 @@
 		List<ListedServer> usable = parts().state().usable(service().name());
 		EngineChoice choice = parts().state()
 			.engines()
-			.choose(usable, engineLimits(), facts(), this.excluded, this.mayMove, fill, remainingMillis(),
+			.choose(usable, engineLimits(), facts(), this.excluded,
+					!this.resumed && this.failedPrefills < MAX_FAILED_PREFILLS, fill, remainingMillis(),
 					this.attemptNanos);
 		if (choice instanceof EngineChoice.Full) {
 			return false;
@@ -214,6 +225,7 @@
 			this.prefillCall = null;
 			unwatch();
 			endPrefill();
+			parts().state().engines().succeeded(engine.name());
 			parts().metrics().time("prefill", System.nanoTime() - this.attemptNanos);
 			decode(then, new KvCache(engine, handle.get()));
 		});
@@ -228,13 +240,16 @@
 		if (isDone()) {
 			return;
 		}
+		if (outcome instanceof AttemptOutcome.NotRun) {
+			refusedPrefill(engine);
+		}
 		engineFailed(engine, outcome);
 		this.excluded.add(engine.name());
+		this.failedPrefills++;
 		boolean again = timeLeft() && (outcome instanceof AttemptOutcome.NotSent
 				|| parts().state().budget(service().name()).take(System.nanoTime()));
 		log("prefill-failed", "server", engine.name(), "outcome", outcome, "again", again);
 		if (again) {
-			this.mayMove = false;
 			attempt();
 		}
 		else {
@@ -335,6 +350,7 @@
 		if (numbered) {
 			this.lastEventId = event.id();
 		}
+		this.pace.event(System.nanoTime());
 		response.write(Buffer.buffer(event.bytes()));
 		if (response.writeQueueFull()) {
 			HttpClientResponse source = this.stream;
@@ -347,6 +363,7 @@
 		long nowNanos = System.nanoTime();
 		double tookMillis = (nowNanos - this.attemptNanos) / 1e6;
 		this.decodeTicket.read();
+		parts().state().engines().succeeded(this.decode.name());
 		if (this.cache == null) {
 			parts().state().engines().took(this.decode.name(), this.expectedMillis, tookMillis, nowNanos);
 		}
@@ -365,6 +382,9 @@
 		}
 		unwatch();
 		cleared();
+		log("stream-ended", "server", this.decode.name(), "events", this.pace.events(), "longest_pause_millis",
+				this.pace.longestPauseNanos() / NANOS_PER_MILLI);
+		parts().metrics().time("longest_pause", this.pace.longestPauseNanos());
 		endDecode();
 		attempts().ended(new AttemptOutcome.Answered(OK), false);
 		if (finish("answered", OK)) {
@@ -403,7 +423,7 @@
 		log("attempt-ended", "server", engine.name(), "outcome", outcome, "next", step, "last_event", this.lastEventId);
 		parts().metrics().count("attempts_failed_total", outcome.getClass().getSimpleName());
 		if (step == NextStep.TRY_AGAIN) {
-			this.mayMove = false;
+			this.resumed = true;
 			attempt();
 		}
 		else if (step == NextStep.REFUSE) {
@@ -418,12 +438,24 @@
 	private void refusedDecode(ListedServer engine) {
 		double held = parts().state().engines().work(engine.name(), System.nanoTime()).kvTokens();
 		if (engineLimits().kvTokens() > 0 && held < engineLimits().kvTokens() * ROOMY) {
-			ListedServer suspect = (this.cache != null) ? this.cache.engine() : engine;
-			parts().state().engines().failed(suspect.name(), System.nanoTime());
-			log("engine-avoided", "server", suspect.name(), "held_tokens", held);
+			avoid((this.cache != null) ? this.cache.engine() : engine, "held_tokens", held);
 		}
 	}
 
+	// A prefill engine that refuses although hardly anything waits there changes its
+	// stage or leaves.
+	private void refusedPrefill(ListedServer engine) {
+		int prompts = parts().state().engines().work(engine.name(), System.nanoTime()).requests();
+		if (prompts < ROOMY_PROMPTS) {
+			avoid(engine, "prompts", prompts);
+		}
+	}
+
+	private void avoid(ListedServer engine, String measure, Number value) {
+		parts().state().engines().failed(engine.name(), System.nanoTime());
+		log("engine-avoided", "server", engine.name(), measure, value);
+	}
+
 	private void engineFailed(ListedServer engine, AttemptOutcome outcome) {
 		if (!(outcome instanceof AttemptOutcome.NotRun)) {
 			parts().state().engines().failed(engine.name(), System.nanoTime());
