--- /dev/null
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/WaitTimesTests.java
@@ -0,0 +1,47 @@
+package io.balsamlane.core.forwarding;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against waits that end too late for a stream to be on time, or later than its
+ * caller waits.
+ */
+class WaitTimesTests {
+
+	private static final long MILLI = 1_000_000;
+
+	private static final ForwardingRoute ROUTE = new ForwardingRoute("route", "host", "/", RequestKind.STREAM, 14_000,
+			900, 1, List.of(new ForwardingRoute.WeightedService("service", 1)), 1, 300);
+
+	@Test
+	void halfOfTheTargetIsLeftForTheStart() {
+		WaitTimes times = WaitTimes.ofNew(ROUTE, 100 * MILLI, 300 * MILLI, 14_000);
+		assertThat(times.onTimeUntilNanos()).isEqualTo((100 + 450) * MILLI);
+	}
+
+	@Test
+	void newStreamIsRefusedBeforeItsCallerLeaves() {
+		WaitTimes times = WaitTimes.ofNew(ROUTE, 100 * MILLI, 300 * MILLI, 14_000);
+		assertThat(times.giveUpNanos()).isEqualTo((100 + 3600 - 800) * MILLI);
+		assertThat(times.over(300 * MILLI)).isFalse();
+		assertThat(times.over(2900 * MILLI)).isTrue();
+	}
+
+	@Test
+	void streamThatCannotEndBeforeItsDeadlineDoesNotWait() {
+		assertThat(WaitTimes.ofNew(ROUTE, 0, 10 * MILLI, 3900).over(10 * MILLI)).isTrue();
+		assertThat(WaitTimes.ofBroken(ROUTE, 10 * MILLI, 3900).over(10 * MILLI)).isFalse();
+	}
+
+	@Test
+	void callerOfABrokenStreamCountsFromItsLastEvent() {
+		WaitTimes times = WaitTimes.ofBroken(ROUTE, 5000 * MILLI, 9000);
+		assertThat(times.onTimeUntilNanos()).isEqualTo(5450 * MILLI);
+		assertThat(times.giveUpNanos()).isEqualTo((5000 + 3600 - 800) * MILLI);
+	}
+
+}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -15,6 +15,7 @@
 import io.balsamlane.core.forwarding.NextStep;
 import io.balsamlane.core.forwarding.RequestFacts;
 import io.balsamlane.core.forwarding.SharedLoadPlacement;
+import io.balsamlane.core.forwarding.WaitTimes;
 import io.balsamlane.core.model.ServerName;
 import io.balsamlane.router.edge.ErrorKind;
 import io.vertx.core.buffer.Buffer;
@@ -52,29 +53,16 @@
 	/** Share that late streams may fill; the rest is kept for those on time. */
 	private static final double LATE_FILL = 0.75;
 
-	/** An engine that holds less than this share of its KV cache has room for sure. */
-	private static final double ROOMY = 0.7;
-
-	/** A prefill engine with fewer prompts than this has room: it keeps two waiting. */
-	private static final int ROOMY_PROMPTS = 2;
-
 	/** Failed prefills after which a prompt is read where its answer is generated. */
 	private static final int MAX_FAILED_PREFILLS = 2;
 
-	/** Time from placing to the first event, without a queue. */
-	private static final long TYPICAL_START_MILLIS = 250;
-
-	/** Time that a stream of middle length takes, left when a wait ends. */
-	private static final long TYPICAL_STREAM_MILLIS = 4000;
-
-	/** Left for the start of a stream when a wait ends: a loaded prefill and paths. */
-	private static final long START_MARGIN_MILLIS = 800;
-
 	/** Time after which a caller who waited in vain finds room more likely. */
 	private static final int RETRY_AFTER_WAIT_MILLIS = 2500;
 
 	private final Set<ServerName> excluded = new HashSet<>();
 
+	private final EngineFailures failures;
+
 	private ServerCall prefillCall;
 
 	private ServerCall decodeCall;
@@ -110,6 +98,7 @@
 	StreamExchange(ForwardingParts parts, HttpServerRequest request, RequestFacts facts, ForwardingRoute route,
 			ForwardedService service, Buffer body, long startNanos) {
 		super(parts, request, facts, route, service, body, startNanos);
+		this.failures = new EngineFailures(parts, facts.requestId());
 		this.lastEventId = facts.lastEventId();
 	}
 
@@ -128,16 +117,11 @@
 
 	private void await() {
 		long nowNanos = System.nanoTime();
-		// A caller who has events already counts from the last one, and goes first.
-		long sinceNanos = this.headSent ? nowNanos : startNanos();
-		long targetNanos = sinceNanos + (route().targetMillis() - TYPICAL_START_MILLIS) * NANOS_PER_MILLI;
-		long waitedMillis = (nowNanos - sinceNanos) / NANOS_PER_MILLI;
-		long leftMillis = this.headSent ? remainingMillis() : remainingMillis() - TYPICAL_STREAM_MILLIS;
-		long longestMillis = Math.min(route().callerPatienceMillis() - START_MARGIN_MILLIS - waitedMillis, leftMillis);
-		long giveUpNanos = nowNanos + Math.max(0, longestMillis) * NANOS_PER_MILLI;
-		log("waiting", "waiting", parts().waiting().size(), "longest_millis", longestMillis);
-		if (longestMillis <= 0
-				|| !parts().waiting().add(service().name(), this, startNanos(), targetNanos, giveUpNanos)) {
+		WaitTimes times = this.headSent ? WaitTimes.ofBroken(route(), nowNanos, remainingMillis())
+				: WaitTimes.ofNew(route(), startNanos(), nowNanos, remainingMillis());
+		log("waiting", "waiting", parts().waiting().size(), "longest_millis",
+				(times.giveUpNanos() - nowNanos) / NANOS_PER_MILLI);
+		if (times.over(nowNanos) || !parts().waiting().add(service().name(), this, startNanos(), times)) {
 			refuse(ErrorKind.OVERLOADED, "all engines are full", RETRY_AFTER_WAIT_MILLIS);
 		}
 	}
@@ -240,10 +224,7 @@
 		if (isDone()) {
 			return;
 		}
-		if (outcome instanceof AttemptOutcome.NotRun) {
-			refusedPrefill(engine);
-		}
-		engineFailed(engine, outcome);
+		this.failures.prefillFailed(engine, outcome);
 		this.excluded.add(engine.name());
 		this.failedPrefills++;
 		boolean again = timeLeft() && (outcome instanceof AttemptOutcome.NotSent
@@ -410,14 +391,12 @@
 	private void decodeEnded(AttemptOutcome outcome) {
 		unwatch();
 		ListedServer engine = this.decode;
-		if (outcome instanceof AttemptOutcome.NotRun) {
-			refusedDecode(engine);
-		}
+		KvCache source = this.cache;
 		endDecode();
 		if (isDone()) {
 			return;
 		}
-		engineFailed(engine, outcome);
+		this.failures.decodeFailed(engine, source, engineLimits(), outcome);
 		suspect(engine, outcome, this.lastEventId);
 		NextStep step = attempts().ended(outcome, timeLeft());
 		log("attempt-ended", "server", engine.name(), "outcome", outcome, "next", step, "last_event", this.lastEventId);
@@ -434,34 +413,6 @@
 		}
 	}
 
-	// An engine that refuses although it has room lacks the cache, or changes its stage.
-	private void refusedDecode(ListedServer engine) {
-		double held = parts().state().engines().work(engine.name(), System.nanoTime()).kvTokens();
-		if (engineLimits().kvTokens() > 0 && held < engineLimits().kvTokens() * ROOMY) {
-			avoid((this.cache != null) ? this.cache.engine() : engine, "held_tokens", held);
-		}
-	}
-
-	// A prefill engine that refuses although hardly anything waits there changes its
-	// stage or leaves.
-	private void refusedPrefill(ListedServer engine) {
-		int prompts = parts().state().engines().work(engine.name(), System.nanoTime()).requests();
-		if (prompts < ROOMY_PROMPTS) {
-			avoid(engine, "prompts", prompts);
-		}
-	}
-
-	private void avoid(ListedServer engine, String measure, Number value) {
-		parts().state().engines().failed(engine.name(), System.nanoTime());
-		log("engine-avoided", "server", engine.name(), measure, value);
-	}
-
-	private void engineFailed(ListedServer engine, AttemptOutcome outcome) {
-		if (!(outcome instanceof AttemptOutcome.NotRun)) {
-			parts().state().engines().failed(engine.name(), System.nanoTime());
-		}
-	}
-
 	private void endPrefill() {
 		if (this.prefillTicket != null) {
 			this.prefillTicket.end();
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WaitingStreams.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WaitingStreams.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import io.balsamlane.core.forwarding.PlacementQueue;
+import io.balsamlane.core.forwarding.WaitTimes;
 import io.vertx.core.Vertx;
 
 /**
@@ -42,13 +43,12 @@
 	 * @param service name of its service
 	 * @param stream the stream
 	 * @param arrivedNanos the monotonic time of its arrival
-	 * @param onTimeUntilNanos time until which its first event can be on time
-	 * @param giveUpNanos time at which it is refused
+	 * @param times bounds of its wait
 	 * @return false if too many wait
 	 */
-	boolean add(String service, StreamExchange stream, long arrivedNanos, long onTimeUntilNanos, long giveUpNanos) {
+	boolean add(String service, StreamExchange stream, long arrivedNanos, WaitTimes times) {
 		boolean added = this.queues.computeIfAbsent(service, (name) -> PlacementQueue.create(MAX_WAITING))
-			.offer(stream, arrivedNanos, onTimeUntilNanos, giveUpNanos);
+			.offer(stream, arrivedNanos, times.onTimeUntilNanos(), times.giveUpNanos());
 		schedule();
 		return added;
 	}
