--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/WaitTimes.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/WaitTimes.java
@@ -12,7 +12,7 @@
  */
 public record WaitTimes(long onTimeUntilNanos, long giveUpNanos) {
 
-	/** Share of the target that is left for the start, see docs/measurements.md. */
+	/** Share of the target that is left for the start, see docs/decisions/0007. */
 	private static final double START_SHARE = 0.5;
 
 	/** Time that a stream of middle length takes, left when a wait ends. */
