Work reports go through collectors in a large fleet; one router of a region watches the store

Cause: in a fleet of 90 routers each told each of its work at every change, each held two watches on the store, and a choice of engines added up the reports of 89 routers for each of some 2,000 pairs of engines.

Now: beyond 16 routers one router of each region collects the work of its region (FleetRoles, pure), reports hold changes, one router of each region watches the store for the others (RelayedPrefixStore). Reported work is summed once per report, and the best prefill engine is found once for each place of decode engines. Smaller fleets tell each other as before, with changes only.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/EngineWork.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/EngineWork.java
@@ -22,4 +22,14 @@
 				this.kvTokens + other.kvTokens);
 	}
 
+	/**
+	 * Takes work away.
+	 * @param other the work that no longer counts
+	 * @return the difference
+	 */
+	public EngineWork minus(EngineWork other) {
+		return new EngineWork(this.pendingTokens - other.pendingTokens, this.requests - other.requests,
+				this.kvTokens - other.kvTokens);
+	}
+
 }
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -8,8 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
-import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.Place;
 import io.balsamlane.core.model.ServerName;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -24,24 +25,6 @@
  */
 public final class SharedLoadPlacement {
 
-	/** Reports arrive several times a second; after this time their sender is gone. */
-	private static final long REPORT_LIFE_NANOS = 2_000_000_000L;
-
-	/** Weight of one observation in the learned slowness of an engine. */
-	private static final double SLOWNESS_WEIGHT = 0.3;
-
-	/** An engine is not believed to be more than this much slower than the others. */
-	private static final double MAX_SLOWNESS = 8;
-
-	/** Learned slowness halves its distance to 1 in this time without observation. */
-	private static final double SLOWNESS_HALF_LIFE_NANOS = 4e9;
-
-	/** Time for which an engine that failed gets nothing while others are left. */
-	private static final long AVOID_NANOS = 1_500_000_000L;
-
-	/** Repeated failures double the time of avoidance up to this many times. */
-	private static final int MAX_DOUBLINGS = 3;
-
 	/** Choices that differ by less than this count as equal. */
 	private static final double SPREAD_MILLIS = 15;
 
@@ -65,9 +48,9 @@
 
 	private final Map<ServerName, OwnWork> own = new HashMap<>();
 
-	private final Map<HostName, Report> reports = new HashMap<>();
+	private final ReportedWork others = ReportedWork.create();
 
-	private final Map<ServerName, Observed> observed = new HashMap<>();
+	private final EngineObservations observations = new EngineObservations();
 
 	private final UniformRandomProvider random;
 
@@ -133,9 +116,8 @@
 					millis + remotePenalty(decode, this.region) + delayOfOthers(decode, facts, nowNanos) + spread()));
 		}
 		if (mayMove && facts.promptTokens() > 0) {
-			for (ListedServer prefill : candidates(engines, EngineStage.PREFILL, excluded, nowNanos)) {
-				decoders.forEach((decode) -> options.add(split(prefill, decode, limits, facts, nowNanos)));
-			}
+			options.addAll(splits(candidates(engines, EngineStage.PREFILL, excluded, nowNanos), decoders, limits, facts,
+					nowNanos));
 		}
 		Option best = options.stream().min(Comparator.comparingDouble(Option::cost)).orElseThrow();
 		if (best.millis() > remainingMillis * DEADLINE_SHARE) {
@@ -150,7 +132,9 @@
 		List<ListedServer> of = engines.stream()
 			.filter((engine) -> engine.stage() == stage && !excluded.contains(engine.name()))
 			.toList();
-		List<ListedServer> sound = of.stream().filter((engine) -> !observed(engine.name()).avoided(nowNanos)).toList();
+		List<ListedServer> sound = of.stream()
+			.filter((engine) -> !this.observations.avoided(engine.name(), nowNanos))
+			.toList();
 		return sound.isEmpty() ? of : sound;
 	}
 
@@ -158,24 +142,55 @@
 		double rate = this.rates.prefillTokensPerMilli() / this.rates.decodeSlowdown();
 		return roundTrip(decode, this.region, this.place) + this.rates.setupMillis()
 				+ (work(decode.name(), nowNanos).pendingTokens() + facts.promptTokens()) / rate
-						* observed(decode.name()).slowness(nowNanos);
+						* this.observations.slowness(decode.name(), nowNanos);
 	}
 
-	private Option split(ListedServer prefill, ListedServer decode, EngineLimits limits, RequestFacts facts,
-			long nowNanos) {
+	// Compares all pairs by the figures of their parts: what a pair costs beyond the sum
+	// of its engines depends only on where they are, so one prefill engine is best for
+	// all decode engines of a place.
+	private List<Option> splits(List<ListedServer> prefills, List<ListedServer> decoders, EngineLimits limits,
+			RequestFacts facts, long nowNanos) {
+		Map<Place, List<ListedServer>> byPlace = decoders.stream()
+			.collect(Collectors.groupingBy((decode) -> decode.server().place()));
+		List<Option> options = new ArrayList<>();
+		List<Part> reads = prefills.stream().map((prefill) -> readPart(prefill, facts, nowNanos)).toList();
+		byPlace.forEach((at, there) -> {
+			ListedServer any = there.get(0);
+			Optional<Part> best = reads.stream()
+				.map((read) -> read.movedTo(moveMillis(read.engine(), any, limits, facts),
+						this.rates.transferPenaltyMillis() * (1 + distanceTo(read.engine(), any))))
+				.min(Comparator.comparingDouble(Part::cost));
+			best.ifPresent((read) -> there.forEach((decode) -> options.add(split(read, decode, nowNanos))));
+		});
+		return options;
+	}
+
+	private Part readPart(ListedServer prefill, RequestFacts facts, long nowNanos) {
+		double millis = roundTrip(prefill, this.region, this.place) + this.rates.setupMillis()
+				+ (work(prefill.name(), nowNanos).pendingTokens() + facts.promptTokens())
+						/ this.rates.prefillTokensPerMilli() * this.observations.slowness(prefill.name(), nowNanos);
+		return new Part(prefill, millis, millis + remotePenalty(prefill, this.region) + spread());
+	}
+
+	private double moveMillis(ListedServer prefill, ListedServer decode, EngineLimits limits, RequestFacts facts) {
+		int distance = distanceTo(prefill, decode);
+		return limits.transferMillis(facts.promptTokens()) * ((distance == 0) ? 1 : (distance == 1) ? 2 : 10)
+				+ roundTrip(prefill, decode.server().region(), decode.server().place().value());
+	}
+
+	private Option split(Part read, ListedServer decode, long nowNanos) {
 		EngineWork decoding = work(decode.name(), nowNanos);
 		double rate = this.rates.prefillTokensPerMilli() / this.rates.decodeSlowdown();
 		double busy = decoding.pendingTokens() / rate + decoding.requests() * STREAM_MILLIS;
-		double read = (work(prefill.name(), nowNanos).pendingTokens() + facts.promptTokens())
-				/ this.rates.prefillTokensPerMilli() * observed(prefill.name()).slowness(nowNanos);
-		int distance = distance(prefill, decode.server().region(), decode.server().place().value());
-		double move = limits.transferMillis(facts.promptTokens()) * ((distance == 0) ? 1 : (distance == 1) ? 2 : 10)
-				+ roundTrip(prefill, decode.server().region(), decode.server().place().value());
-		double millis = roundTrip(prefill, this.region, this.place) + roundTrip(decode, this.region, this.place)
-				+ 2 * this.rates.setupMillis() + read + move + busy * observed(decode.name()).slowness(nowNanos);
-		double penalty = this.rates.transferPenaltyMillis() * (1 + distance) + remotePenalty(prefill, this.region)
-				+ remotePenalty(decode, this.region) + spread();
-		return new Option(new EngineChoice.Split(prefill, decode, millis), millis, millis + penalty);
+		double there = roundTrip(decode, this.region, this.place) + this.rates.setupMillis()
+				+ busy * this.observations.slowness(decode.name(), nowNanos);
+		double millis = read.millis() + there;
+		return new Option(new EngineChoice.Split(read.engine(), decode, millis), millis,
+				read.cost() + there + remotePenalty(decode, this.region) + spread());
+	}
+
+	private static int distanceTo(ListedServer prefill, ListedServer decode) {
+		return distance(prefill, decode.server().region(), decode.server().place().value());
 	}
 
 	// Tells whether an engine can take a request. Room on engines of other regions is
@@ -226,24 +241,17 @@
 	 * @return own work and the work of routers whose reports are fresh
 	 */
 	public EngineWork work(ServerName engine, long nowNanos) {
-		EngineWork sum = Optional.ofNullable(this.own.get(engine)).map(OwnWork::work).orElse(EngineWork.NONE);
-		for (Report report : this.reports.values()) {
-			if (nowNanos - report.receivedNanos() < REPORT_LIFE_NANOS) {
-				sum = sum.plus(report.work().getOrDefault(engine, EngineWork.NONE));
-			}
-		}
-		return sum;
+		OwnWork held = this.own.get(engine);
+		EngineWork reported = this.others.on(engine, nowNanos);
+		return (held != null) ? held.work().plus(reported) : reported;
 	}
 
 	/**
-	 * Takes over what another router reports of its own work.
-	 * @param host the router
-	 * @param work its outstanding work by engine; engines without work are left out
-	 * @param nowNanos the monotonic time
+	 * Returns what other routers report of their work.
+	 * @return the reports
 	 */
-	public void reported(HostName host, Map<ServerName, EngineWork> work, long nowNanos) {
-		this.reports.values().removeIf((report) -> nowNanos - report.receivedNanos() >= REPORT_LIFE_NANOS);
-		this.reports.put(host, new Report(Map.copyOf(work), nowNanos));
+	public ReportedWork others() {
+		return this.others;
 	}
 
 	/**
@@ -278,7 +286,7 @@
 	 * @param nowNanos the monotonic time
 	 */
 	public void took(ServerName engine, double expectedMillis, double actualMillis, long nowNanos) {
-		observed(engine).took(actualMillis / Math.max(1, expectedMillis), nowNanos);
+		this.observations.took(engine, expectedMillis, actualMillis, nowNanos);
 	}
 
 	/**
@@ -286,7 +294,7 @@
 	 * @param engine the engine
 	 */
 	public void succeeded(ServerName engine) {
-		observed(engine).failures = 0;
+		this.observations.succeeded(engine);
 	}
 
 	/**
@@ -295,7 +303,7 @@
 	 * @param nowNanos the monotonic time
 	 */
 	public void failed(ServerName engine, long nowNanos) {
-		observed(engine).failed(nowNanos);
+		this.observations.failed(engine, nowNanos);
 	}
 
 	/**
@@ -303,17 +311,21 @@
 	 * @param engine the engine
 	 */
 	public void forget(ServerName engine) {
-		this.observed.remove(engine);
-	}
-
-	private Observed observed(ServerName engine) {
-		return this.observed.computeIfAbsent(engine, (key) -> new Observed());
+		this.observations.forget(engine);
 	}
 
 	private record Option(EngineChoice choice, double millis, double cost) {
 	}
 
-	private record Report(Map<ServerName, EngineWork> work, long receivedNanos) {
+	// A prefill engine with the time until it has read a prompt, then until the prompt
+	// has
+	// also been moved.
+	private record Part(ListedServer engine, double millis, double cost) {
+
+		Part movedTo(double moveMillis, double penaltyMillis) {
+			return new Part(this.engine, this.millis + moveMillis, this.cost + moveMillis + penaltyMillis);
+		}
+
 	}
 
 	/**
@@ -386,38 +398,4 @@
 
 	}
 
-	private static final class Observed {
-
-		private double slowness = 1;
-
-		private long slownessNanos;
-
-		private int failures;
-
-		private long avoidUntilNanos;
-
-		void took(double ratio, long nowNanos) {
-			double bounded = Math.min(MAX_SLOWNESS, Math.max(1 / MAX_SLOWNESS, ratio));
-			this.slowness = slowness(nowNanos) + SLOWNESS_WEIGHT * (bounded - slowness(nowNanos));
-			this.slownessNanos = nowNanos;
-			this.failures = 0;
-		}
-
-		double slowness(long nowNanos) {
-			double halves = (nowNanos - this.slownessNanos) / SLOWNESS_HALF_LIFE_NANOS;
-			return 1 + (this.slowness - 1) * Math.pow(0.5, Math.max(0, halves));
-		}
-
-		void failed(long nowNanos) {
-			int doublings = Math.min(this.failures, MAX_DOUBLINGS);
-			this.failures++;
-			this.avoidUntilNanos = nowNanos + (AVOID_NANOS << doublings);
-		}
-
-		boolean avoided(long nowNanos) {
-			return this.failures > 0 && nowNanos - this.avoidUntilNanos < 0;
-		}
-
-	}
-
 }
--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/MemberView.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/MemberView.java
@@ -43,7 +43,13 @@
 		return owner(key, (member) -> member.place().equals(place)).or(() -> owner(key));
 	}
 
-	private Optional<Member> owner(String key, Predicate<Member> eligible) {
+	/**
+	 * Finds the owner of a key among some of the members.
+	 * @param key the key
+	 * @param eligible tells which members may own it
+	 * @return the owner, empty if no member is eligible
+	 */
+	public Optional<Member> owner(String key, Predicate<Member> eligible) {
 		return this.members.stream()
 			.filter(eligible)
 			.max(Comparator.comparingLong((Member member) -> RendezvousHash.score(member.host().value(), key))
--- /dev/null
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/FleetRolesTests.java
@@ -0,0 +1,119 @@
+package io.balsamlane.core.forwarding;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.core.membership.MemberView;
+import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.Place;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against routers that hear nothing of each other's work, and against reports and
+ * calls to the store that grow with the square of the fleet.
+ */
+class FleetRolesTests {
+
+	private static final int LARGE = 90;
+
+	private static List<Member> fleet(int routers) {
+		return IntStream.range(0, routers)
+			.mapToObj((number) -> new Member(HostName.of("host-" + number), 1, Place.of("place-" + number % 6),
+					Endpoint.of("10.0.0.1", 1000 + number)))
+			.toList();
+	}
+
+	// Two places make a region.
+	private static String region(Place place) {
+		return "region-" + place.value().charAt(place.value().length() - 1) / 2;
+	}
+
+	private static Map<HostName, FleetRoles> roles(List<Member> members) {
+		return members.stream()
+			.collect(Collectors.toMap(Member::host,
+					(member) -> FleetRoles.of(new MemberView(member, members), FleetRolesTests::region)));
+	}
+
+	@Test
+	void routersOfASmallFleetTellEachOther() {
+		roles(fleet(7)).forEach((host, roles) -> {
+			assertThat(roles.reportTargets()).hasSize(6).doesNotContainKey(host).containsValue(WorkScope.OWN);
+			assertThat(roles.storeReader()).isEmpty();
+			assertThat(roles.collects()).isFalse();
+		});
+	}
+
+	@Test
+	void inALargeFleetTheWorkOfEachRouterReachesAllOthers() {
+		Map<HostName, FleetRoles> fleet = roles(fleet(LARGE));
+		fleet.keySet().forEach((source) -> {
+			Set<HostName> heard = new HashSet<>();
+			send(fleet, source, source, WorkScope.OWN, heard);
+			assertThat(heard).as("work of %s", source).containsAll(fleet.keySet());
+		});
+	}
+
+	// Follows the work of one router: a collector passes own reports of others on within
+	// sums of its region and of the rest, and sums of other regions within the rest.
+	private static void send(Map<HostName, FleetRoles> fleet, HostName source, HostName at, WorkScope held,
+			Set<HostName> heard) {
+		heard.add(at);
+		fleet.get(at).reportTargets().forEach((target, scope) -> {
+			boolean passed = (scope == WorkScope.OWN) ? at.equals(source)
+					: (scope == WorkScope.REGION) ? held == WorkScope.OWN : true;
+			if (passed && heard.add(target) && scope != WorkScope.REST) {
+				send(fleet, source, target, scope, heard);
+			}
+		});
+	}
+
+	@Test
+	void inALargeFleetFewRoutersHaveManyToTell() {
+		Map<HostName, FleetRoles> fleet = roles(fleet(LARGE));
+		assertThat(fleet.values().stream().filter(FleetRoles::collects)).hasSize(3);
+		assertThat(fleet.values().stream().filter((roles) -> !roles.collects()))
+			.allSatisfy((roles) -> assertThat(roles.reportTargets()).hasSize(1).containsValue(WorkScope.OWN));
+		assertThat(fleet.values().stream().mapToInt((roles) -> roles.reportTargets().size()).sum())
+			.isLessThanOrEqualTo(2 * LARGE);
+	}
+
+	@Test
+	void oneRouterOfEachRegionReadsTheStore() {
+		List<Member> members = fleet(LARGE);
+		Map<HostName, String> regions = members.stream()
+			.collect(Collectors.toMap(Member::host, (member) -> region(member.place())));
+		Map<HostName, FleetRoles> fleet = roles(members);
+		fleet.forEach((host, roles) -> assertThat(roles.storeReader())
+			.hasValueSatisfying((reader) -> assertThat(regions.get(reader)).isEqualTo(regions.get(host))));
+		assertThat(fleet.values().stream().map(FleetRoles::storeReader).distinct()).hasSize(3);
+	}
+
+	@Test
+	void lossOfACollectorConcernsOnlyItsRegion() {
+		List<Member> members = fleet(LARGE);
+		Map<HostName, FleetRoles> before = roles(members);
+		Member lost = members.stream()
+			.filter((member) -> before.get(member.host()).collects())
+			.findFirst()
+			.orElseThrow();
+		Map<HostName, FleetRoles> after = roles(members.stream().filter((member) -> member != lost).toList());
+		Function<Map<HostName, FleetRoles>, Set<HostName>> collectors = (fleet) -> fleet.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().collects())
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+		Set<HostName> kept = new HashSet<>(collectors.apply(before));
+		kept.remove(lost.host());
+		assertThat(collectors.apply(after)).hasSize(3).containsAll(kept).doesNotContain(lost.host());
+	}
+
+}
--- /dev/null
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ReportedWorkTests.java
@@ -0,0 +1,88 @@
+package io.balsamlane.core.forwarding;
+
+import java.util.Map;
+
+import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.ServerName;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against work that counts twice, or that stays when its router is gone.
+ */
+class ReportedWorkTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	private static final HostName A = HostName.of("a");
+
+	private static final HostName B = HostName.of("b");
+
+	private static final ServerName ENGINE = ServerName.of("e");
+
+	private static final ServerName OTHER = ServerName.of("f");
+
+	private static final EngineWork ONE = new EngineWork(3000, 1, 3800);
+
+	private static final EngineWork TWO = new EngineWork(6000, 2, 7600);
+
+	private final ReportedWork work = ReportedWork.create();
+
+	private boolean report(HostName from, Map<ServerName, EngineWork> changes, boolean complete, long nowNanos) {
+		return this.work.reported(from, WorkScope.OWN, changes, complete, nowNanos);
+	}
+
+	@Test
+	void reportsOfSeveralRoutersAddUp() {
+		report(A, Map.of(ENGINE, ONE), true, 0);
+		report(B, Map.of(ENGINE, ONE, OTHER, ONE), true, 0);
+		assertThat(this.work.on(ENGINE, 0)).isEqualTo(TWO);
+		assertThat(this.work.on(OTHER, 0)).isEqualTo(ONE);
+	}
+
+	@Test
+	void changesReplaceWhatTheyName() {
+		report(A, Map.of(ENGINE, ONE, OTHER, ONE), true, 0);
+		assertThat(report(A, Map.of(ENGINE, TWO), false, 1)).isTrue();
+		assertThat(report(A, Map.of(OTHER, EngineWork.NONE), false, 2)).isTrue();
+		assertThat(this.work.on(ENGINE, 2)).isEqualTo(TWO);
+		assertThat(this.work.on(OTHER, 2)).isEqualTo(EngineWork.NONE);
+		assertThat(this.work.of(A, 2)).isEqualTo(Map.of(ENGINE, TWO));
+	}
+
+	@Test
+	void completeReportReplacesTheOneBefore() {
+		report(A, Map.of(ENGINE, ONE, OTHER, ONE), true, 0);
+		report(A, Map.of(OTHER, TWO), true, 1);
+		assertThat(this.work.on(ENGINE, 1)).isEqualTo(EngineWork.NONE);
+		assertThat(this.work.on(OTHER, 1)).isEqualTo(TWO);
+	}
+
+	@Test
+	void changesOfAnUnknownReportAreRefused() {
+		assertThat(report(A, Map.of(ENGINE, ONE), false, 0)).isFalse();
+		assertThat(this.work.on(ENGINE, 0)).isEqualTo(EngineWork.NONE);
+		report(A, Map.of(ENGINE, ONE), true, 0);
+		assertThat(this.work.reported(A, WorkScope.REST, Map.of(OTHER, ONE), false, 1)).isFalse();
+	}
+
+	@Test
+	void reportOfASilentRouterExpiresAndThatOfAnotherStays() {
+		report(A, Map.of(ENGINE, ONE), true, 0);
+		report(B, Map.of(ENGINE, ONE), true, SECOND);
+		assertThat(this.work.on(ENGINE, 2 * SECOND)).isEqualTo(ONE);
+		assertThat(report(A, Map.of(ENGINE, ONE), false, 2 * SECOND)).isFalse();
+		assertThat(this.work.on(ENGINE, 3 * SECOND)).isEqualTo(EngineWork.NONE);
+	}
+
+	@Test
+	void reportThatCountsAllRequestsTakesThePlaceOfOthers() {
+		report(A, Map.of(ENGINE, ONE), true, 0);
+		this.work.reported(B, WorkScope.REST, Map.of(ENGINE, TWO), true, 0);
+		this.work.retain(WorkScope.REST);
+		assertThat(this.work.on(ENGINE, 0)).isEqualTo(TWO);
+		assertThat(this.work.sum(WorkScope.OWN, 0)).isEmpty();
+	}
+
+}
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/SharedLoadPlacementTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/SharedLoadPlacementTests.java
@@ -50,8 +50,9 @@
 	@Test
 	void engineThatIsFullByTheReportsOfOthersGetsNothing() {
 		ListedServer decode = ForwardingFixture.decode("d", "here");
-		this.placement.reported(HostName.of("other"),
-				Map.of(ServerName.of("d"), new EngineWork(0, 9, LIMITS.kvTokens() - 1000)), 0);
+		this.placement.others()
+			.reported(HostName.of("other"), WorkScope.OWN,
+					Map.of(ServerName.of("d"), new EngineWork(0, 9, LIMITS.kvTokens() - 1000)), true, 0);
 		assertThat(choose(List.of(decode), SECOND)).isEqualTo(new EngineChoice.Full(1));
 		assertThat(choose(List.of(decode), 3 * SECOND)).isInstanceOf(EngineChoice.Whole.class);
 	}
