--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
@@ -19,6 +19,12 @@
 
 	private static final long MAX_PAUSE_MILLIS = 800;
 
+	/**
+	 * Shortest time between the starts of two watches, so that a series of changes, such
+	 * as the start of all servers, costs few calls.
+	 */
+	private static final long WATCH_GAP_MILLIS = 200;
+
 	/** A view that is less than this much older than a peer's is kept. */
 	private static final long PEER_AGE_MILLIS = 800;
 
@@ -46,6 +52,8 @@
 
 	private boolean known;
 
+	private long watchedNanos = System.nanoTime() - WATCH_GAP_MILLIS * NANOS_PER_MILLI;
+
 	private long confirmedNanos;
 
 	private boolean asking;
@@ -131,6 +139,21 @@
 
 	private void watch(long revision) {
 		int current = this.generation;
+		long waitMillis = (this.watchedNanos - System.nanoTime()) / NANOS_PER_MILLI + WATCH_GAP_MILLIS;
+		if (waitMillis <= 0) {
+			watchNow(revision);
+			return;
+		}
+		this.vertx.setTimer(waitMillis, (id) -> {
+			if (current == this.generation && !this.stopped) {
+				watchNow(revision);
+			}
+		});
+	}
+
+	private void watchNow(long revision) {
+		int current = this.generation;
+		this.watchedNanos = System.nanoTime();
 		this.store.watch(this.prefix, revision, this.waitMillis).onSuccess((result) -> {
 			if (current != this.generation || this.stopped) {
 				return;
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
@@ -69,6 +69,17 @@
 		return new PrefixRead.Item("servers/" + key, key.getBytes(StandardCharsets.UTF_8));
 	}
 
+	@Test
+	void seriesOfChangesCostsFewCalls() throws Exception {
+		this.store.answers.add(new PrefixRead.Listed(List.of(), 5));
+		this.store.always = new PrefixRead.Changed(List.of(item("a")), 6);
+		start();
+		awaitHeard("changed [servers/a]");
+		int before = this.store.calls.size();
+		Thread.sleep(1000);
+		assertThat(this.store.calls.size() - before).isBetween(1, 6);
+	}
+
 	@Test
 	void changesFollowTheFullRead() throws Exception {
 		this.store.answers.add(new PrefixRead.Listed(List.of(item("a")), 5));
