In a large fleet the collector of a region reserves room on its engines; the retry budget is divided by the routers alive

Reports are some 100 ms old there, so several of 30 routers of a region send a stream to the same room; one gets it, the others are refused after their prompts have been read. It is divided by 1.2 times the largest number of routers seen alive now. Small fleets keep their ten.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/FleetRoles.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/FleetRoles.java
@@ -101,6 +101,15 @@
 		return regional() && collector(ownRegion()).filter(this.members.self().host()::equals).isPresent();
 	}
 
+	/**
+	 * Returns the router that collects the work on the engines of a region.
+	 * @param region the region
+	 * @return the collector, empty if each router tells each or the region has no router
+	 */
+	public Optional<HostName> collectorOf(String region) {
+		return regional() ? collector(region) : Optional.empty();
+	}
+
 	private Optional<HostName> collector(String region) {
 		return owner("work-collector", region);
 	}
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ReportedWork.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ReportedWork.java
@@ -1,7 +1,10 @@
 package io.balsamlane.core.forwarding;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.ServerName;
@@ -16,6 +19,14 @@
 	/** Reports arrive several times a second; after this time their sender is gone. */
 	private static final long REPORT_LIFE_NANOS = 2_000_000_000L;
 
+	/**
+	 * Time until a reserved request is part of the reports; that of other regions takes
+	 * longest.
+	 */
+	private static final long RESERVATION_LIFE_NANOS = 700_000_000L;
+
+	private final List<Reservation> reservations = new ArrayList<>();
+
 	private final Map<HostName, Report> reports = new HashMap<>();
 
 	private final Map<ServerName, EngineWork> sum = new HashMap<>();
@@ -46,6 +57,11 @@
 	public boolean reported(HostName from, WorkScope scope, Map<ServerName, EngineWork> work, boolean complete,
 			long nowNanos) {
 		expire(nowNanos);
+		if (scope == WorkScope.OWN) {
+			// Messages of a router arrive in their order, so this report counts the
+			// requests.
+			withdrawReservations((reservation) -> reservation.from().equals(from));
+		}
 		Report report = this.reports.get(from);
 		if (!complete && (report == null || report.scope != scope)) {
 			return false;
@@ -68,6 +84,41 @@
 		return true;
 	}
 
+	/**
+	 * Counts a request that a router is about to send, until its report counts it.
+	 * @param from the router
+	 * @param engine the engine
+	 * @param work the work of the request
+	 * @param nowNanos the monotonic time
+	 */
+	public void reserved(HostName from, ServerName engine, EngineWork work, long nowNanos) {
+		this.reservations.add(new Reservation(from, engine, work, nowNanos));
+		add(engine, work);
+	}
+
+	private void withdrawReservations(Predicate<Reservation> over) {
+		this.reservations.stream()
+			.filter(over)
+			.forEach((reservation) -> add(reservation.engine(), EngineWork.NONE.minus(reservation.work())));
+		this.reservations.removeIf(over);
+	}
+
+	/**
+	 * Takes over what the collector says of one engine, which is newer than its report.
+	 * @param engine the engine
+	 * @param work the work of all other routers on it
+	 */
+	public void corrected(ServerName engine, EngineWork work) {
+		this.reports.values()
+			.stream()
+			.filter((report) -> report.scope == WorkScope.REST)
+			.findFirst()
+			.ifPresent((rest) -> {
+				EngineWork before = rest.work.put(engine, work);
+				add(engine, (before != null) ? work.minus(before) : work);
+			});
+	}
+
 	private void add(ServerName engine, EngineWork difference) {
 		EngineWork next = this.sum.getOrDefault(engine, EngineWork.NONE).plus(difference);
 		if (next.equals(EngineWork.NONE)) {
@@ -88,6 +139,9 @@
 	}
 
 	private void expire(long nowNanos) {
+		if (!this.reservations.isEmpty()) {
+			withdrawReservations((reservation) -> nowNanos - reservation.atNanos() >= RESERVATION_LIFE_NANOS);
+		}
 		if (nowNanos - this.oldestNanos < REPORT_LIFE_NANOS) {
 			return;
 		}
@@ -143,6 +197,9 @@
 		return (report != null) ? Map.copyOf(report.work) : Map.of();
 	}
 
+	private record Reservation(HostName from, ServerName engine, EngineWork work, long atNanos) {
+	}
+
 	private static final class Report {
 
 		private final Map<ServerName, EngineWork> work = new HashMap<>();
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.model.ServerName;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -196,13 +197,36 @@
 	// Tells whether an engine can take a request. Room on engines of other regions is
 	// left to the routers there, whose view of them is fresher.
 	private boolean hasRoom(ListedServer decode, EngineLimits limits, RequestFacts facts, double fill, long nowNanos) {
-		EngineWork work = work(decode.name(), nowNanos);
-		if (work.requests() == 0) {
-			return true;
-		}
+		return room(decode, limits, fill).admits(work(decode.name(), nowNanos), facts.kvTokens());
+	}
+
+	/**
+	 * Returns the bounds of an engine for requests of this router.
+	 * @param decode the engine
+	 * @param limits its size
+	 * @param fill share of its KV cache that may be in use, at most 1
+	 * @return the bounds
+	 */
+	public EngineRoom room(ListedServer decode, EngineLimits limits, double fill) {
 		double share = decode.server().region().equals(this.region) ? fill : fill - REMOTE_FILL_MARGIN;
-		return (limits.kvTokens() == 0 || work.kvTokens() + facts.kvTokens() <= limits.kvTokens() * share)
-				&& (limits.slots() == 0 || work.requests() < limits.slots());
+		return new EngineRoom(Math.round(limits.kvTokens() * share), limits.slots());
+	}
+
+	/**
+	 * Reserves room on an engine for a request of another router, if it has room.
+	 * @param from the router
+	 * @param engine the engine
+	 * @param room bounds of the engine
+	 * @param kvTokens tokens of KV cache that the request holds at most
+	 * @param nowNanos the monotonic time
+	 * @return true if the room is reserved
+	 */
+	public boolean reserve(HostName from, ServerName engine, EngineRoom room, long kvTokens, long nowNanos) {
+		if (!room.admits(work(engine, nowNanos), kvTokens)) {
+			return false;
+		}
+		this.others.reserved(from, engine, new EngineWork(0, 1, kvTokens), nowNanos);
+		return true;
 	}
 
 	// What reading a prompt costs the streams of the same engine, which stand still.
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/WindowedRetryBudget.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/WindowedRetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.DoubleSupplier;
 
 /**
  * Bounds the repeated requests to one service in any window of time to a share of its
@@ -11,7 +12,7 @@
 
 	private final double share;
 
-	private final double fixed;
+	private final DoubleSupplier fixed;
 
 	private final long windowNanos;
 
@@ -19,7 +20,7 @@
 
 	private final Deque<Long> repeats = new ArrayDeque<>();
 
-	private WindowedRetryBudget(double share, double fixed, long windowNanos) {
+	private WindowedRetryBudget(double share, DoubleSupplier fixed, long windowNanos) {
 		this.share = share;
 		this.fixed = fixed;
 		this.windowNanos = windowNanos;
@@ -28,11 +29,11 @@
 	/**
 	 * Creates a budget.
 	 * @param share repeated requests for each request of callers
-	 * @param fixed repeated requests in each window beyond that
+	 * @param fixed returns the repeated requests in each window beyond that
 	 * @param windowNanos length of the window
 	 * @return the budget
 	 */
-	public static WindowedRetryBudget create(double share, double fixed, long windowNanos) {
+	public static WindowedRetryBudget create(double share, DoubleSupplier fixed, long windowNanos) {
 		return new WindowedRetryBudget(share, fixed, windowNanos);
 	}
 
@@ -53,7 +54,7 @@
 	public boolean take(long nowNanos) {
 		expire(this.requests, nowNanos);
 		expire(this.repeats, nowNanos);
-		if (this.repeats.size() + 1 > this.share * this.requests.size() + this.fixed) {
+		if (this.repeats.size() + 1 > this.share * this.requests.size() + this.fixed.getAsDouble()) {
 			return false;
 		}
 		this.repeats.addLast(nowNanos);
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ReportedWorkTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ReportedWorkTests.java
@@ -85,4 +85,19 @@
 		assertThat(this.work.sum(WorkScope.OWN, 0)).isEmpty();
 	}
 
+	@Test
+	void reservedRequestCountsUntilTheReportOfItsRouter() {
+		this.work.reserved(A, ENGINE, ONE, 0);
+		report(B, Map.of(ENGINE, ONE), true, 1);
+		assertThat(this.work.on(ENGINE, 1)).isEqualTo(TWO);
+		report(A, Map.of(ENGINE, ONE), true, 2);
+		assertThat(this.work.on(ENGINE, 2)).isEqualTo(TWO);
+	}
+
+	@Test
+	void reservedRequestOfARouterThatNeverReportsExpires() {
+		this.work.reserved(A, ENGINE, ONE, 0);
+		assertThat(this.work.on(ENGINE, SECOND)).isEqualTo(EngineWork.NONE);
+	}
+
 }
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/WindowedRetryBudgetTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/WindowedRetryBudgetTests.java
@@ -21,7 +21,7 @@
 
 	@Test
 	void budgetReturnsWithTheWindow() {
-		WindowedRetryBudget budget = WindowedRetryBudget.create(0, 1, WINDOW_NANOS);
+		WindowedRetryBudget budget = WindowedRetryBudget.create(0, () -> 1, WINDOW_NANOS);
 		assertThat(budget.take(0)).isTrue();
 		assertThat(budget.take(999)).isFalse();
 		assertThat(budget.take(1000)).isTrue();
@@ -29,7 +29,7 @@
 
 	@Property(seed = "20261204")
 	void anyWindowKeepsItsShare(@ForAll @Size(max = 300) List<@IntRange(max = 60) Integer> pauses) {
-		WindowedRetryBudget budget = WindowedRetryBudget.create(0.2, 3, WINDOW_NANOS);
+		WindowedRetryBudget budget = WindowedRetryBudget.create(0.2, () -> 3, WINDOW_NANOS);
 		Deque<Long> requests = new ArrayDeque<>();
 		Deque<Long> repeats = new ArrayDeque<>();
 		long now = 0;
@@ -49,4 +49,13 @@
 		}
 	}
 
+	@Test
+	void fixedPartShrinksWhenMoreRoutersShareIt() {
+		double[] fixed = { 2 };
+		WindowedRetryBudget budget = WindowedRetryBudget.create(0, () -> fixed[0], WINDOW_NANOS);
+		assertThat(budget.take(0)).isTrue();
+		fixed[0] = 1;
+		assertThat(budget.take(1)).isFalse();
+	}
+
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingParts.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingParts.java
@@ -14,8 +14,9 @@
  * @param metrics counters and times
  * @param waiting streams that wait for room on engines
  * @param crashes finds requests that crash servers
+ * @param reservations confirms room on engines in a large fleet
  */
 record ForwardingParts(Vertx vertx, ForwardingDialect dialect, ForwardingState state, ServerClient client,
-		ForwardingLimits limits, DecisionLog log, ForwardingMetrics metrics, WaitingStreams waiting,
-		CrashGuard crashes) {
+		ForwardingLimits limits, DecisionLog log, ForwardingMetrics metrics, WaitingStreams waiting, CrashGuard crashes,
+		EngineReservations reservations) {
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -24,6 +24,15 @@
 
 	private static final int MAX_SERVERS = 4096;
 
+	/**
+	 * Fewest routers that share the retry budget: the smallest deployments have seven and
+	 * spares.
+	 */
+	private static final int MIN_BUDGET_ROUTERS = 10;
+
+	/** Routers of the budget for each that is seen alive; the rest is unseen or spare. */
+	private static final double BUDGET_ROUTERS_PER_MEMBER = 1.2;
+
 	private final DecisionLog log;
 
 	private final ServerTable servers;
@@ -35,6 +44,8 @@
 
 	private final RetryRule retryRule;
 
+	private int budgetRouters = MIN_BUDGET_ROUTERS;
+
 	private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
 
 	private Consumer<ServerName> endListener = (name) -> {
@@ -224,7 +235,16 @@
 
 	WindowedRetryBudget budget(String service) {
 		return this.budgets.computeIfAbsent(service, (name) -> WindowedRetryBudget.create(this.retryRule.share(),
-				this.retryRule.fixed(), this.retryRule.windowNanos()));
+				() -> this.retryRule.fixed() / this.budgetRouters, this.retryRule.windowNanos()));
+	}
+
+	/**
+	 * Notes how many routers are alive, which share the fixed part of the retry budget.
+	 * The largest number counts, because routers that are cut off spend their part too.
+	 * @param alive the routers, this one included
+	 */
+	public void routersSeen(int alive) {
+		this.budgetRouters = Math.max(this.budgetRouters, (int) Math.ceil(alive * BUDGET_ROUTERS_PER_MEMBER));
 	}
 
 	long serversAgeMillis() {
@@ -236,10 +256,10 @@
 	}
 
 	/**
-	 * This router's part of the fleet's retry budget.
+	 * The fleet's retry budget.
 	 *
 	 * @param share repeated requests for each request of callers
-	 * @param fixed repeated requests in each window beyond that
+	 * @param fixed repeated requests of all routers in each window beyond that
 	 * @param windowNanos length of the window
 	 */
 	public record RetryRule(double share, double fixed, long windowNanos) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -66,15 +66,16 @@
 	 * @param log receives each decision
 	 * @param metrics counters and times
 	 * @param crashes finds requests that crash servers
+	 * @param reservations confirms room on engines in a large fleet
 	 * @param readyPath path of the readiness check
 	 * @return the server
 	 */
 	public static FrontServer create(Vertx vertx, ForwardingDialect dialect, ForwardingState state, DecisionLog log,
-			ForwardingMetrics metrics, CrashGuard crashes, String readyPath) {
+			ForwardingMetrics metrics, CrashGuard crashes, EngineReservations reservations, String readyPath) {
 		ForwardingLimits limits = ForwardingLimits.defaults();
 		state.setEndListener(crashes::ended);
 		return new FrontServer(new ForwardingParts(vertx, dialect, state, new ServerClient(vertx, limits), limits, log,
-				metrics, new WaitingStreams(vertx), crashes), readyPath);
+				metrics, new WaitingStreams(vertx), crashes, reservations), readyPath);
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -158,11 +158,11 @@
 		}
 		if (choice instanceof EngineChoice.Split split) {
 			this.expectedMillis = split.firstEventMillis();
-			prefill(split.prefill(), split.decode());
+			reserve(split.decode(), 0, fill, () -> prefill(split.prefill(), split.decode()));
 		}
 		else if (choice instanceof EngineChoice.Whole whole) {
 			this.expectedMillis = whole.firstEventMillis();
-			decode(whole.decode(), null);
+			reserve(whole.decode(), facts().promptTokens(), fill, () -> decode(whole.decode(), null));
 		}
 		else if (choice instanceof EngineChoice.None none) {
 			log("not-placed", "reason", none.reason(), "usable", usable.size(), "excluded", this.excluded.size(),
@@ -172,14 +172,36 @@
 		return true;
 	}
 
+	// Reserves memory before the prompt is read, because the result is kept only shortly.
+	private void reserve(ListedServer engine, long pendingTokens, double fill, Runnable then) {
+		SharedLoadPlacement.Ticket ticket = parts().state()
+			.engines()
+			.started(engine, pendingTokens, facts().kvTokens());
+		this.decodeTicket = ticket;
+		parts().reservations()
+			.confirm(facts().requestId(), engine, parts().state().engines().room(engine, engineLimits(), fill),
+					facts().kvTokens())
+			.onSuccess((granted) -> {
+				if (isDone() || this.decodeTicket != ticket) {
+					return;
+				}
+				if (granted) {
+					then.run();
+				}
+				else {
+					ticket.end();
+					this.decodeTicket = null;
+					await();
+				}
+			});
+	}
+
 	private void prefill(ListedServer engine, ListedServer then) {
 		logChoice("prefill-chosen", engine,
 				"expected first event after " + Math.round(this.expectedMillis) + " ms, then " + then.name());
 		log("request-size", "prompt_tokens", facts().promptTokens(), "max_output_tokens", facts().maxOutputTokens(),
 				"expected_output_tokens", facts().expectedOutputTokens());
 		this.prefillTicket = parts().state().engines().started(engine, facts().promptTokens(), facts().promptTokens());
-		// Reserved before the prompt is read, because its result is kept only shortly.
-		this.decodeTicket = parts().state().engines().started(then, 0, facts().kvTokens());
 		this.prefillCall = new ServerCall(parts(), engine, (answer) -> prefilled(engine, then, answer),
 				(outcome) -> prefillFailed(engine, outcome));
 		watch(() -> {
@@ -247,9 +269,6 @@
 		this.stream = null;
 		attempts().started(engine.name());
 		this.excluded.add(engine.name());
-		if (this.decodeTicket == null) {
-			this.decodeTicket = parts().state().engines().started(engine, facts().promptTokens(), facts().kvTokens());
-		}
 		this.decodeCall = new ServerCall(parts(), engine, this::streaming, this::decodeEnded);
 		if (attempts().mayMove()) {
 			watch(EVENT_PATIENCE_MILLIS, () -> stuck("no first event in time"));
