--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/FleetRoles.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/FleetRoles.java
@@ -23,7 +23,10 @@
  */
 public final class FleetRoles {
 
-	/** Beyond this size, reports of each to each exceed 3 KB/s, see docs/CAPACITY.md. */
+	/**
+	 * Twice the routers of the deployments on which reports of each to each were
+	 * measured, see docs/decisions/0008.
+	 */
 	static final int MAX_MESH_ROUTERS = 16;
 
 	private final MemberView members;
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ReportedWork.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ReportedWork.java
@@ -25,6 +25,9 @@
 	 */
 	private static final long RESERVATION_LIFE_NANOS = 700_000_000L;
 
+	/** Further reservations are granted without being counted. */
+	private static final int MAX_RESERVATIONS = 4096;
+
 	private final List<Reservation> reservations = new ArrayList<>();
 
 	private final Map<HostName, Report> reports = new HashMap<>();
@@ -92,8 +95,11 @@
 	 * @param nowNanos the monotonic time
 	 */
 	public void reserved(HostName from, ServerName engine, EngineWork work, long nowNanos) {
-		this.reservations.add(new Reservation(from, engine, work, nowNanos));
-		add(engine, work);
+		expire(nowNanos);
+		if (this.reservations.size() < MAX_RESERVATIONS) {
+			this.reservations.add(new Reservation(from, engine, work, nowNanos));
+			add(engine, work);
+		}
 	}
 
 	private void withdrawReservations(Predicate<Reservation> over) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
@@ -46,6 +46,9 @@
 
 	private static final long CHECK_MILLIS = 100;
 
+	/** Two prefixes of each router of a region, and as many that were given up. */
+	private static final int MAX_WAITING = 4096;
+
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final Vertx vertx;
@@ -93,7 +96,7 @@
 	 */
 	public void start() {
 		this.peers.register(PeerMessage.BodyCase.STORE_WATCH_QUERY,
-				(from, message) -> wait(message.getStoreWatchQuery())
+				(from, message) -> awaitChange(message.getStoreWatchQuery())
 					.map((read) -> PeerMessage.newBuilder().setStoreChanges(encode(read))));
 		this.vertx.setPeriodic(CHECK_MILLIS, (id) -> answerWaiting());
 	}
@@ -142,8 +145,11 @@
 		});
 	}
 
-	private Future<PrefixRead> wait(StoreWatchQuery query) {
+	private Future<PrefixRead> awaitChange(StoreWatchQuery query) {
 		long untilNanos = System.nanoTime() + Math.min(RELAY_WAIT_MILLIS, query.getWaitMillis()) * NANOS_PER_MILLI;
+		if (this.waiting.size() >= MAX_WAITING) {
+			return Future.succeededFuture(new PrefixRead.Unavailable("too many routers wait"));
+		}
 		Waiting entry = new Waiting(query, untilNanos, Promise.promise());
 		this.waiting.add(entry);
 		answerWaiting();
