--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -107,6 +107,24 @@
 			.mapEmpty();
 	}
 
+	/**
+	 * Serves metrics at an address of their own. A router works without them, so a
+	 * failure is only logged.
+	 * @param metrics the address
+	 * @return completes when the server listens or cannot
+	 */
+	public Future<Void> startMetrics(Endpoint metrics) {
+		return this.parts.vertx()
+			.createHttpServer(new HttpServerOptions().setHttp2ClearTextEnabled(false))
+			.requestHandler(this::metered)
+			.listen(metrics.port(), metrics.address())
+			.<Void>mapEmpty()
+			.recover((cause) -> {
+				this.parts.log().log("metrics-not-served", "", "address", metrics, "reason", cause.getMessage());
+				return Future.succeededFuture();
+			});
+	}
+
 	private static void invalid(HttpServerRequest request) {
 		Throwable cause = request.decoderResult().cause();
 		boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
@@ -123,7 +141,13 @@
 		if (request.path().equals(this.readyPath)) {
 			request.response().setStatusCode(this.parts.state().ready() ? 200 : 503).end();
 		}
-		else if (request.path().equals("/metrics")) {
+		else {
+			metered(request);
+		}
+	}
+
+	private void metered(HttpServerRequest request) {
+		if (request.path().equals("/metrics")) {
 			request.response()
 				.putHeader("content-type", "text/plain; version=0.0.4")
 				.end(this.parts.metrics().format());
