The report of a new collector takes the place of the old one's

Cause: reports that count the requests of all others were added up while an old collector's was younger than two seconds, so engines looked twice as full after a collector had changed. Found by reading; reportOfANewCollectorTakesThePlaceOfTheOldOnes fails without the change.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ReportedWork.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ReportedWork.java
@@ -136,12 +136,16 @@
 	}
 
 	/**
-	 * Drops the reports of some scopes, because others count the same requests.
-	 * @param keep the scope that is kept
+	 * Drops the reports of other routers, because one router's report counts the requests
+	 * of all.
+	 * @param from the router whose report is kept
 	 */
-	public void retain(WorkScope keep) {
-		this.reports.values().stream().filter((report) -> report.scope != keep).forEach(this::withdraw);
-		this.reports.values().removeIf((report) -> report.scope != keep);
+	public void retain(HostName from) {
+		this.reports.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().equals(from))
+			.forEach((entry) -> withdraw(entry.getValue()));
+		this.reports.keySet().removeIf((host) -> !host.equals(from));
 	}
 
 	private void expire(long nowNanos) {
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ReportedWorkTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ReportedWorkTests.java
@@ -80,11 +80,19 @@
 	void reportThatCountsAllRequestsTakesThePlaceOfOthers() {
 		report(A, Map.of(ENGINE, ONE), true, 0);
 		this.work.reported(B, WorkScope.REST, Map.of(ENGINE, TWO), true, 0);
-		this.work.retain(WorkScope.REST);
+		this.work.retain(B);
 		assertThat(this.work.on(ENGINE, 0)).isEqualTo(TWO);
 		assertThat(this.work.sum(WorkScope.OWN, 0)).isEmpty();
 	}
 
+	@Test
+	void reportOfANewCollectorTakesThePlaceOfTheOldOnes() {
+		this.work.reported(A, WorkScope.REST, Map.of(ENGINE, ONE), true, 0);
+		this.work.retain(B);
+		this.work.reported(B, WorkScope.REST, Map.of(ENGINE, TWO), true, 1);
+		assertThat(this.work.on(ENGINE, 1)).isEqualTo(TWO);
+	}
+
 	@Test
 	void reservedRequestCountsUntilTheReportOfItsRouter() {
 		this.work.reserved(A, ENGINE, ONE, 0);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -182,13 +182,11 @@
 			.confirm(facts().requestId(), engine, parts().state().engines().room(engine, engineLimits(), fill),
 					facts().kvTokens())
 			.onSuccess((granted) -> {
-				if (isDone() || this.decodeTicket != ticket) {
-					return;
-				}
-				if (granted) {
+				boolean current = !isDone() && this.decodeTicket == ticket;
+				if (current && granted) {
 					then.run();
 				}
-				else {
+				else if (current) {
 					ticket.end();
 					this.decodeTicket = null;
 					await();
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WorkReporter.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WorkReporter.java
@@ -101,7 +101,7 @@
 		WorkScope scope = scope(report.getScope());
 		if (scope == WorkScope.REST) {
 			// It counts the requests of all others, so no other report may.
-			this.engines.others().retain(WorkScope.REST);
+			this.engines.others().retain(from);
 		}
 		return this.engines.others().reported(from, scope, work, report.getComplete(), System.nanoTime());
 	}
