--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/FleetRoles.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/FleetRoles.java
@@ -24,8 +24,8 @@
 public final class FleetRoles {
 
 	/**
-	 * Twice the routers of the deployments on which reports of each to each were
-	 * measured, see docs/decisions/0008.
+	 * Between the 7 routers of the deployments that tell each other and the 72 of those
+	 * that need collectors, see docs/decisions/0008.
 	 */
 	static final int MAX_MESH_ROUTERS = 16;
 
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ReportedWork.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ReportedWork.java
@@ -25,7 +25,10 @@
 	 */
 	private static final long RESERVATION_LIFE_NANOS = 700_000_000L;
 
-	/** Further reservations are granted without being counted. */
+	/**
+	 * Bounds memory, far above what a region starts in the life of a reservation. Further
+	 * ones are granted without being counted.
+	 */
 	private static final int MAX_RESERVATIONS = 4096;
 
 	private final List<Reservation> reservations = new ArrayList<>();
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
@@ -39,11 +39,13 @@
 	/** Longest wait of a relayed watch. */
 	private static final long RELAY_WAIT_MILLIS = 800;
 
+	/** Two trips between regions of 20 ms each and the reader's other work. */
 	private static final long CALL_MARGIN_MILLIS = 200;
 
 	/** Time for which a reader that could not answer is passed over. */
 	private static final long AVOID_MILLIS = 2000;
 
+	/** Adds to the age at which a view is no longer passed on, so it is short. */
 	private static final long CHECK_MILLIS = 100;
 
 	/** Two prefixes of each router of a region, and as many that were given up. */
