Place urgent streams first, and rejected or crashed engines with care

Waiting streams went all at once to engines that had crashed and looked idle, and entries of crashed servers were used for seconds after their successors had registered. Streams of the most urgent kind queued behind the others.

Change: a request that was rejected without running may go to two more servers within the retry budget; what counts against the attempts of its route are servers that may have run it. An engine that failed receives one request of a router at a time, without a prefill elsewhere, until it has answered. A server is excluded once its endpoint is listed for one that was started later. Waiting streams are ordered by priority, and engines are told the priority.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/EngineObservations.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/EngineObservations.java
@@ -58,6 +58,18 @@
 		return seen != null && seen.isAvoided(nowNanos);
 	}
 
+	/**
+	 * Return whether an engine has failed and not completed any work since, although it
+	 * may be selected again.
+	 * @param engine the engine
+	 * @param nowNanos the monotonic time
+	 * @return true if the engine must prove that it has recovered
+	 */
+	boolean isOnTrial(ServerName engine, long nowNanos) {
+		Observed seen = this.observed.get(engine);
+		return seen != null && seen.failures > 0 && !seen.isAvoided(nowNanos);
+	}
+
 	private Observed of(ServerName engine) {
 		return this.observed.computeIfAbsent(engine, (key) -> new Observed());
 	}
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/PlacementQueue.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/PlacementQueue.java
@@ -3,14 +3,15 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * Queue of requests that wait for capacity on an engine. Not thread-safe.
  * <p>
  * During a load peak that exceeds the capacity of the engines, requests whose first event
- * can still be on time are placed first, in order of arrival. Requests that will be late
- * use the remaining capacity, so that a peak does not delay every request past its
- * target.
+ * can still be on time are placed first, by priority and then in order of arrival.
+ * Requests that will be late use the remaining capacity, so that a peak does not delay
+ * every request past its target.
  *
  * @param <T> type of the requests
  */
@@ -37,17 +38,18 @@
 	/**
 	 * Add a request.
 	 * @param request the request
+	 * @param priority priority of the request, 0 being the highest
 	 * @param arrivedNanos the monotonic time of its arrival
 	 * @param onTimeUntilNanos latest placement time at which its first event can be on
 	 * time
 	 * @param refuseAtNanos time at which the request is rejected
 	 * @return false if the queue is full
 	 */
-	public boolean offer(T request, long arrivedNanos, long onTimeUntilNanos, long refuseAtNanos) {
+	public boolean offer(T request, int priority, long arrivedNanos, long onTimeUntilNanos, long refuseAtNanos) {
 		if (this.entries.size() >= this.maxWaiting) {
 			return false;
 		}
-		this.entries.add(new Entry<>(request, arrivedNanos, onTimeUntilNanos, refuseAtNanos));
+		this.entries.add(new Entry<>(request, priority, arrivedNanos, onTimeUntilNanos, refuseAtNanos));
 		return true;
 	}
 
@@ -79,19 +81,18 @@
 	 * @param nowNanos the monotonic time
 	 */
 	public void drain(Placer<T> placer, long nowNanos) {
-		List<Entry<T>> onTime = this.entries.stream()
-			.filter((entry) -> entry.onTime(nowNanos))
-			.sorted(Comparator.comparingLong(Entry::arrivedNanos))
-			.toList();
-		List<Entry<T>> late = this.entries.stream()
-			.filter((entry) -> !entry.onTime(nowNanos))
-			.sorted(Comparator.comparingLong(Entry::arrivedNanos))
-			.toList();
-		if (placeAll(onTime, placer, false)) {
-			placeAll(late, placer, true);
+		if (placeAll(ordered((entry) -> entry.onTime(nowNanos)), placer, false)) {
+			placeAll(ordered((entry) -> !entry.onTime(nowNanos)), placer, true);
 		}
 	}
 
+	private List<Entry<T>> ordered(Predicate<Entry<T>> filter) {
+		return this.entries.stream()
+			.filter(filter)
+			.sorted(Comparator.<Entry<T>>comparingInt(Entry::priority).thenComparingLong(Entry::arrivedNanos))
+			.toList();
+	}
+
 	private boolean placeAll(List<Entry<T>> ordered, Placer<T> placer, boolean late) {
 		for (Entry<T> entry : ordered) {
 			this.entries.remove(entry);
@@ -103,6 +104,15 @@
 		return true;
 	}
 
+	/**
+	 * Return whether a new request has to queue behind waiting ones.
+	 * @param priority priority of the new request
+	 * @return true if a request of the same or a higher priority is waiting
+	 */
+	public boolean anyAhead(int priority) {
+		return this.entries.stream().anyMatch((entry) -> entry.priority() <= priority);
+	}
+
 	/**
 	 * Return the number of waiting requests.
 	 * @return the size of the queue
@@ -129,7 +139,7 @@
 
 	}
 
-	private record Entry<T>(T request, long arrivedNanos, long onTimeUntilNanos, long refuseAtNanos) {
+	private record Entry<T>(T request, int priority, long arrivedNanos, long onTimeUntilNanos, long refuseAtNanos) {
 
 		boolean onTime(long nowNanos) {
 			return nowNanos - this.onTimeUntilNanos < 0;
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestAttempts.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestAttempts.java
@@ -21,6 +21,12 @@
 	 */
 	private static final int MAX_UNSENT = 3;
 
+	/**
+	 * Maximum number of servers that may reject a request without running it, after which
+	 * it is refused. Bounds the load that rejected requests add to a full service.
+	 */
+	private static final int MAX_REJECTED = 2;
+
 	private static final int SERVER_ERROR = 500;
 
 	private final RequestKind kind;
@@ -31,11 +37,11 @@
 
 	private final Set<ServerName> tried = new HashSet<>();
 
-	private int sent;
+	private int ran;
 
-	private int unsent;
+	private int rejected;
 
-	private boolean mayHaveRun;
+	private int unsent;
 
 	private boolean open;
 
@@ -48,7 +54,7 @@
 	/**
 	 * Create the state of a request that has not been sent.
 	 * @param kind whether the request may be retried
-	 * @param maxAttempts maximum number of servers to which the request may be sent
+	 * @param maxAttempts maximum number of servers on which the request may run
 	 * @param budget acquires one retry from the retry budget; returns false if it is
 	 * exhausted
 	 * @return the new instance
@@ -85,21 +91,21 @@
 			this.unsent++;
 			return (timeLeft && this.unsent < MAX_UNSENT) ? NextStep.TRY_AGAIN : giveUp();
 		}
-		this.sent++;
+		if (outcome instanceof AttemptOutcome.NotRun) {
+			this.rejected++;
+			return mayRepeat(timeLeft) ? NextStep.TRY_AGAIN : giveUp();
+		}
+		this.ran++;
 		if (outcome instanceof AttemptOutcome.Answered answered) {
-			this.mayHaveRun = true;
 			boolean failed = answered.status() >= SERVER_ERROR && this.kind == RequestKind.IDEMPOTENT;
 			return (failed && mayRepeat(timeLeft)) ? NextStep.TRY_AGAIN : NextStep.RELAY;
 		}
-		if (outcome instanceof AttemptOutcome.Broken) {
-			this.mayHaveRun = true;
-			return (this.kind.repeatable() && mayRepeat(timeLeft)) ? NextStep.TRY_AGAIN : NextStep.FAIL;
-		}
-		return mayRepeat(timeLeft) ? NextStep.TRY_AGAIN : giveUp();
+		return (this.kind.repeatable() && mayRepeat(timeLeft)) ? NextStep.TRY_AGAIN : NextStep.FAIL;
 	}
 
+	// Servers that rejected the request have not run it and do not count as attempts.
 	private boolean mayRepeat(boolean timeLeft) {
-		return timeLeft && this.sent < this.maxAttempts && this.budget.getAsBoolean();
+		return timeLeft && this.ran < this.maxAttempts && this.rejected <= MAX_REJECTED && this.budget.getAsBoolean();
 	}
 
 	/**
@@ -108,7 +114,7 @@
 	 * @return {@link NextStep#REFUSE} if it cannot have run, else {@link NextStep#FAIL}
 	 */
 	public NextStep giveUp() {
-		return (this.mayHaveRun || this.open) ? NextStep.FAIL : NextStep.REFUSE;
+		return (this.ran > 0 || this.open) ? NextStep.FAIL : NextStep.REFUSE;
 	}
 
 	/**
@@ -116,7 +122,7 @@
 	 * @return true if the request may be retried and an attempt remains after this one
 	 */
 	public boolean mayFailOver() {
-		return this.open && this.kind.repeatable() && this.sent + 1 < this.maxAttempts;
+		return this.open && this.kind.repeatable() && this.ran + 1 < this.maxAttempts;
 	}
 
 	/**
@@ -132,7 +138,7 @@
 	 * @return the number of attempts
 	 */
 	public int sent() {
-		return this.sent;
+		return this.ran + this.rejected;
 	}
 
 }
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
@@ -16,7 +16,9 @@
 /**
  * Tracks the backend servers that are eligible for requests, based on the platform's list
  * and on the responses of the servers. A server that has announced its shutdown remains
- * excluded until its next incarnation, regardless of the list. Not thread-safe.
+ * excluded until its next incarnation, regardless of the list. The same applies to a
+ * server whose endpoint is listed for a server that was started later, because the entry
+ * of a crashed server expires only after its successor has registered. Not thread-safe.
  * <p>
  * Entries may expire while the store of the list is unavailable. A server whose entry is
  * missing on the first read after an outage is kept for a grace period, because live
@@ -78,7 +80,13 @@
 			return Optional.of(new Change(server, "left-out"));
 		}
 		if (state == null || !state.listed.sameIncarnation(server)) {
-			this.states.put(server.name(), new State(server));
+			this.states.values()
+				.stream()
+				.filter((other) -> other.supersededBy(server))
+				.forEach((other) -> other.leavingReported = true);
+			State added = new State(server);
+			added.leavingReported = this.states.values().stream().anyMatch((other) -> added.supersededBy(other.listed));
+			this.states.put(server.name(), added);
 			return Optional.of(new Change(server, server.server().leaving() ? "draining" : "listed"));
 		}
 		boolean changed = !state.listed.equals(server) || state.missing;
@@ -197,6 +205,12 @@
 			this.listed = listed;
 		}
 
+		boolean supersededBy(ListedServer server) {
+			return !this.listed.name().equals(server.name())
+					&& this.listed.server().endpoint().equals(server.server().endpoint())
+					&& this.listed.startedMillis() < server.startedMillis();
+		}
+
 	}
 
 }
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -124,8 +124,12 @@
 					millis + remotePenalty(decode, this.region) + delayToRunningStreams(decode, metadata, nowNanos)
 							+ jitterMillis()));
 		}
+		// An engine that has failed may be unable to fetch the KV cache of a prefill.
+		List<ListedServer> proven = decoders.stream()
+			.filter((engine) -> !this.observations.isOnTrial(engine.name(), nowNanos))
+			.toList();
 		if (allowDisaggregation && metadata.promptTokens() > 0) {
-			options.addAll(disaggregatedOptions(candidates(engines, EngineStage.PREFILL, excluded, nowNanos), decoders,
+			options.addAll(disaggregatedOptions(candidates(engines, EngineStage.PREFILL, excluded, nowNanos), proven,
 					limits, metadata, nowNanos));
 		}
 		Option best = options.stream().min(Comparator.comparingDouble(Option::cost)).orElseThrow();
@@ -142,11 +146,19 @@
 			.filter((engine) -> engine.stage() == stage && !excluded.contains(engine.name()))
 			.toList();
 		List<ListedServer> healthy = ofStage.stream()
-			.filter((engine) -> !this.observations.isAvoided(engine.name(), nowNanos))
+			.filter((engine) -> !this.observations.isAvoided(engine.name(), nowNanos)
+					&& !trialInProgress(engine.name(), nowNanos))
 			.toList();
 		return healthy.isEmpty() ? ofStage : healthy;
 	}
 
+	// The work of an engine that crashed has ended, so it seems idle and would receive
+	// all
+	// waiting requests at once.
+	private boolean trialInProgress(ServerName engine, long nowNanos) {
+		return this.own.containsKey(engine) && this.observations.isOnTrial(engine, nowNanos);
+	}
+
 	private double colocatedMillis(ListedServer decode, RequestMetadata metadata, long nowNanos) {
 		double rate = this.rates.prefillTokensPerMilli() / this.rates.decodeSlowdown();
 		return roundTrip(decode, this.region, this.place) + this.rates.setupMillis()
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ServerTableTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ServerTableTests.java
@@ -41,6 +41,20 @@
 		assertThat(usable()).containsExactly("a");
 	}
 
+	@Test
+	void crashedServerIsExcludedOnceItsSuccessorIsListed() {
+		this.table.put(server("a", false, 1));
+		this.table.put(server("b", false, 2));
+		assertThat(usable()).containsExactly("b");
+	}
+
+	@Test
+	void lateEntryOfACrashedServerDoesNotExcludeItsSuccessor() {
+		this.table.put(server("b", false, 2));
+		this.table.put(server("a", false, 1));
+		assertThat(usable()).containsExactly("b");
+	}
+
 	@Test
 	void shutdownOfEarlierIncarnationDoesNotAffectCurrentOne() {
 		this.table.put(server("a", false, 2));
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/SharedLoadPlacementTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/SharedLoadPlacementTests.java
@@ -70,6 +70,41 @@
 		assertThat(choose(List.of(far), 0)).isInstanceOf(EngineChoice.Full.class);
 	}
 
+	@Test
+	void engineThatCrashedReceivesOneRequestUntilItHasAnswered() {
+		ListedServer crashed = ForwardingFixture.decode("crashed", "here");
+		ListedServer busy = ForwardingFixture.decode("busy", "here");
+		ListedServer prefill = ForwardingFixture.prefill("p", "here");
+		List<ListedServer> engines = List.of(crashed, busy, prefill);
+		this.placement.assign(busy, 0, LIMITS.kvTokens());
+		this.placement.recordFailure(crashed.name(), 0);
+		assertThat(choose(engines, 2 * SECOND)).isInstanceOfSatisfying(EngineChoice.Colocated.class,
+				(colocated) -> assertThat(colocated.decode()).isEqualTo(crashed));
+		SharedLoadPlacement.Assignment trial = this.placement.assign(crashed, 3000, 3500);
+		assertThat(choose(engines, 2 * SECOND)).isEqualTo(new EngineChoice.Full(1));
+		trial.completePrefill();
+		this.placement.recordSuccess(crashed.name());
+		assertThat(choose(engines, 2 * SECOND)).isInstanceOf(EngineChoice.Disaggregated.class);
+	}
+
+	@Test
+	void prefillEngineThatCrashedReceivesOneRequestUntilItHasAnswered() {
+		ListedServer crashed = ForwardingFixture.prefill("crashed", "here");
+		ListedServer other = ForwardingFixture.prefill("other", "here");
+		ListedServer decode = ForwardingFixture.decode("d", "here");
+		this.placement.assign(decode, 0, 3500);
+		this.placement.assign(decode, 0, 3500);
+		this.placement.assign(other, 30_000, 30_000);
+		this.placement.recordFailure(crashed.name(), 0);
+		List<ListedServer> engines = List.of(decode, crashed, other);
+		assertThat(choose(engines, 2 * SECOND)).isInstanceOfSatisfying(EngineChoice.Disaggregated.class,
+				(choice) -> assertThat(choice.prefill()).isEqualTo(crashed));
+		this.placement.assign(crashed, 3000, 3000);
+		assertThat(choose(engines, 2 * SECOND)).satisfiesAnyOf(
+				(choice) -> assertThat(choice).isInstanceOf(EngineChoice.Colocated.class),
+				(choice) -> assertThat(((EngineChoice.Disaggregated) choice).prefill()).isEqualTo(other));
+	}
+
 	@Test
 	void endedAssignmentLeavesNoWork() {
 		SharedLoadPlacement.Assignment assignment = this.placement.assign(ForwardingFixture.decode("d", "here"), 3000,
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
@@ -36,6 +36,13 @@
 	 */
 	void prefillOnly(MultiMap to);
 
+	/**
+	 * Set the priority with which an engine admits a request.
+	 * @param to headers of the request to the server
+	 * @param priority the priority, 0 being the highest
+	 */
+	void priority(MultiMap to, int priority);
+
 	/**
 	 * Set the KV cache from which a request continues.
 	 * @param to headers of the request to the server
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -113,7 +113,7 @@
 	@Override
 	void attempt() {
 		// An interrupted stream does not queue behind those that have not started.
-		boolean behind = !this.headSent && context().waiting().anyWaiting(service().name());
+		boolean behind = !this.headSent && context().waiting().anyAhead(service().name(), route().priority());
 		if (behind || !place(this, false)) {
 			await();
 		}
@@ -125,7 +125,8 @@
 				: QueueDeadlines.forNewStream(route(), startNanos(), nowNanos, remainingMillis());
 		log("waiting", "waiting", context().waiting().size(), "longest_millis",
 				(times.refuseAtNanos() - nowNanos) / NANOS_PER_MILLI);
-		if (times.expired(nowNanos) || !context().waiting().add(service().name(), this, startNanos(), times)) {
+		if (times.expired(nowNanos)
+				|| !context().waiting().add(service().name(), this, route().priority(), startNanos(), times)) {
 			refuse(ErrorKind.OVERLOADED, "all engines are at capacity", RETRY_AFTER_WAIT_MILLIS);
 		}
 	}
@@ -216,8 +217,10 @@
 			slow.cancel();
 			prefillFailed(engine, new AttemptOutcome.Broken("the prefill timed out"));
 		});
-		this.prefillCall.start(request(), metadata().requestId(), body(), remainingMillis(),
-				context().dialect()::prefillOnly);
+		this.prefillCall.start(request(), metadata().requestId(), body(), remainingMillis(), (headers) -> {
+			context().dialect().prefillOnly(headers);
+			context().dialect().priority(headers, route().priority());
+		});
 	}
 
 	private void prefilled(ListedServer engine, ListedServer then, HttpClientResponse serverResponse) {
@@ -280,6 +283,7 @@
 			startTimeout(EVENT_TIMEOUT_MILLIS, () -> decodeTimedOut("timed out waiting for the first event"));
 		}
 		this.decodeCall.start(request(), metadata().requestId(), body(), remainingMillis(), (headers) -> {
+			context().dialect().priority(headers, route().priority());
 			if (source != null) {
 				context().dialect().kvSource(headers, source.engine().server().endpoint(), source.handle());
 			}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WaitingStreams.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WaitingStreams.java
@@ -32,26 +32,28 @@
 	}
 
 	/**
-	 * Return whether streams of a service are already waiting.
+	 * Return whether a new stream has to queue behind waiting ones of the same service.
 	 * @param service name of the service
-	 * @return true if a new stream has to queue behind them
+	 * @param priority priority of the new stream, 0 being the highest
+	 * @return true if a stream of the same or a higher priority is waiting
 	 */
-	boolean anyWaiting(String service) {
+	boolean anyAhead(String service, int priority) {
 		PlacementQueue<StreamExchange> queue = this.queues.get(service);
-		return queue != null && queue.size() > 0;
+		return queue != null && queue.anyAhead(priority);
 	}
 
 	/**
 	 * Add a stream to the queue of its service.
 	 * @param service name of its service
 	 * @param stream the stream
+	 * @param priority its priority, 0 being the highest
 	 * @param arrivedNanos time of its arrival on the monotonic clock, in nanoseconds
 	 * @param times deadlines of its wait
 	 * @return false if the queue is full
 	 */
-	boolean add(String service, StreamExchange stream, long arrivedNanos, QueueDeadlines times) {
+	boolean add(String service, StreamExchange stream, int priority, long arrivedNanos, QueueDeadlines times) {
 		boolean added = this.queues.computeIfAbsent(service, (name) -> PlacementQueue.create(MAX_WAITING))
-			.offer(stream, arrivedNanos, times.onTimeUntilNanos(), times.refuseAtNanos());
+			.offer(stream, priority, arrivedNanos, times.onTimeUntilNanos(), times.refuseAtNanos());
 		schedule();
 		return added;
 	}
