Confirm free capacity with one router in small fleets too

Six routers saw an empty engine within 90 ms of each other and each placed several waiting streams on it; 11 to 13 streams were active on an engine that holds 9.

Change: the router that would be the collector of a region confirms capacity in every fleet.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/FleetRoles.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/FleetRoles.java
@@ -20,9 +20,10 @@
  * number of routers, and the reads would exceed the store's rate limits. One router of
  * each region is therefore the collector: it aggregates the work of its region, exchanges
  * the totals with the collectors of the other regions and distributes them within its
- * region. Another router reads the store for the region. Routers whose member views
- * differ may temporarily select different routers for these roles, which costs accuracy
- * or extra calls but does not affect safety.
+ * region. Another router reads the store for the region. In every fleet the router that
+ * is or would be the collector confirms free capacity on the engines of its region.
+ * Routers whose member views differ may temporarily select different routers for these
+ * roles, which costs accuracy or extra calls but does not affect safety.
  */
 public final class FleetRoles {
 
@@ -110,13 +111,15 @@
 	}
 
 	/**
-	 * Return the router that collects the work on the engines of a region.
+	 * Return the router that confirms free capacity on the engines of a region. In a
+	 * large fleet it is the collector of the region. In a full mesh every router knows
+	 * the work of all others, but only after the network latency, so routers that see the
+	 * same free capacity would claim it simultaneously there as well.
 	 * @param region the region
-	 * @return the collector, empty if the fleet uses a full mesh or the region has no
-	 * router
+	 * @return the router, empty if the region has none
 	 */
 	public Optional<HostName> collectorOf(String region) {
-		return usesRegionalRoles() ? collector(region) : Optional.empty();
+		return collector(region);
 	}
 
 	private Optional<HostName> collector(String region) {
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/FleetRolesTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/FleetRolesTests.java
@@ -52,6 +52,17 @@
 		});
 	}
 
+	@Test
+	void routersOfSmallFleetAgreeOnTheRouterThatConfirmsCapacityInARegion() {
+		List<Member> members = fleet(7);
+		roles(members).values().forEach((roles) -> members.forEach((member) -> {
+			String region = region(member.place());
+			assertThat(roles.collectorOf(region)).isPresent()
+				.isEqualTo(FleetRoles.of(new MemberView(members.get(0), members), FleetRolesTests::region)
+					.collectorOf(region));
+		}));
+	}
+
 	@Test
 	void workOfEachRouterReachesAllOthersInLargeFleet() {
 		Map<HostName, FleetRoles> fleet = roles(fleet(LARGE));
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/EngineReservations.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/EngineReservations.java
@@ -19,11 +19,11 @@
 import io.vertx.core.Future;
 
 /**
- * Confirms in a large fleet that an engine has free capacity before the prefill of a
- * request is started. Work reports are about 100 ms old there, so several routers may
- * claim the same free capacity. The router that collects the work reports of the engine's
- * region decides. If this collector does not reply in time, the request proceeds: the
- * engine itself refuses requests beyond its capacity.
+ * Confirms that an engine has free capacity before the prefill of a request is started.
+ * Work reports are 5 to 100 ms old, so several routers may claim the same free capacity,
+ * for example that of an engine that has just been listed. One router of the engine's
+ * region decides, see {@link FleetRoles#collectorOf}. If this collector does not reply in
+ * time, the request proceeds: the engine itself refuses requests beyond its capacity.
  */
 public final class EngineReservations {
 
@@ -91,12 +91,13 @@
 	 * @param engine the engine
 	 * @param limits admission limits of the engine
 	 * @param kvTokens maximum number of tokens that the request holds in the KV cache
-	 * @return true if the request may be sent; completes immediately in a small fleet
+	 * @return true if the request may be sent; completes immediately if this router
+	 * decides
 	 */
 	Future<Boolean> confirm(String requestId, ListedServer engine, AdmissionLimits limits, long kvTokens) {
 		Optional<HostName> collector = this.roles.get().collectorOf(engine.server().region());
 		if (collector.isEmpty() || collector.get().equals(this.peers.members().self().host())) {
-			// The choice of the engine already considered all available work reports.
+			// The choice of the engine already considered all reports and reservations.
 			return Future.succeededFuture(true);
 		}
 		PeerMessage.Builder message = PeerMessage.newBuilder()
--- a/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/EngineReservationsTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/EngineReservationsTests.java
@@ -42,8 +42,6 @@
  */
 class EngineReservationsTests {
 
-	private static final int ROUTERS = 30;
-
 	private static final int ENGINE_STREAMS = 7;
 
 	private static final long KV_TOKENS = 3700;
@@ -56,7 +54,7 @@
 
 	private final Vertx vertx = Vertx.vertx();
 
-	private final List<Member> members = IntStream.range(0, ROUTERS)
+	private final List<Member> members = IntStream.range(0, routers())
 		.mapToObj((number) -> new Member(HostName.of("host-" + number), 1, Place.of("place"),
 				Endpoint.of("127.0.0.1", 1 + number)))
 		.toList();
@@ -72,6 +70,10 @@
 		.collectorOf("region")
 		.orElseThrow();
 
+	int routers() {
+		return 30;
+	}
+
 	@BeforeEach
 	void start() throws Exception {
 		onLoop(() -> this.members.forEach((member) -> {
