Bound responses without end, and let only events keep a stream alive

Cause: tests with servers that send without end. Informational responses (100, 103) were read until the caller's deadline, more than 16 MB each; a resumable stream whose engine sent a byte now and then stayed there until the deadline, because any bytes restarted its timeout; 200 bodies of 1 MB each could occupy 200 MB in a process with a heap of 96 MB. Endless status lines, header fields, chunks, chunk sizes, trailers and bodies of any length were bounded before.

Ruled out: other callers beside 200 flooded connections of each kind were served before and after.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingContext.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingContext.java
@@ -14,9 +14,10 @@
  * @param metrics metrics of forwarding
  * @param waiting streams that wait for free capacity on engines
  * @param crashGuard detects requests that crash servers
- * @param reservations confirms free capacity on engines in a large fleet
+ * @param reservations confirms free capacity on engines
+ * @param responseMemory limits the memory of incomplete responses
  */
 record ForwardingContext(Vertx vertx, ForwardingDialect dialect, ForwardingState state, ServerClient client,
 		ForwardingLimits limits, DecisionLog log, ForwardingMetrics metrics, WaitingStreams waiting,
-		CrashGuard crashGuard, EngineReservations reservations) {
+		CrashGuard crashGuard, EngineReservations reservations, ResponseMemory responseMemory) {
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -81,7 +81,8 @@
 		ForwardingLimits limits = ForwardingLimits.defaults();
 		state.setTerminationListener(crashGuard::serverTerminated);
 		return new FrontServer(new ForwardingContext(vertx, dialect, state, new ServerClient(vertx, limits), limits,
-				log, metrics, new WaitingStreams(vertx), crashGuard, reservations), readyPath);
+				log, metrics, new WaitingStreams(vertx), crashGuard, reservations,
+				new ResponseMemory(limits.maxBufferedBytes())), readyPath);
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
@@ -74,23 +74,24 @@
 
 	private void answered(HttpClientResponse response) {
 		ServerCall current = this.call;
-		ResponseBodyReader.read(response, context().limits().maxResponseBytes()).onComplete((read) -> {
-			if (this.call != current || isDone()) {
-				return;
-			}
-			this.call = null;
-			if (read.failed()) {
-				current.cancel();
-				ended(new AttemptOutcome.Broken(read.cause().getMessage()));
-				return;
-			}
-			if (response.statusCode() / 100 == 2 && !context().dialect().signed(response.headers())) {
-				current.cancel();
-				ended(new AttemptOutcome.Broken("the response has no signature"));
-				return;
-			}
-			bodyReceived(response, read.result());
-		});
+		ResponseBodyReader.read(response, context().limits().maxResponseBytes(), context().responseMemory())
+			.onComplete((read) -> {
+				if (this.call != current || isDone()) {
+					return;
+				}
+				this.call = null;
+				if (read.failed()) {
+					current.cancel();
+					ended(new AttemptOutcome.Broken(read.cause().getMessage()));
+					return;
+				}
+				if (response.statusCode() / 100 == 2 && !context().dialect().signed(response.headers())) {
+					current.cancel();
+					ended(new AttemptOutcome.Broken("the response has no signature"));
+					return;
+				}
+				bodyReceived(response, read.result());
+			});
 	}
 
 	private void bodyReceived(HttpClientResponse response, Buffer content) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ResponseBodyReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ResponseBodyReader.java
@@ -6,7 +6,8 @@
 import io.vertx.core.http.HttpClientResponse;
 
 /**
- * Reads the complete body of a backend server's response, up to a maximum size.
+ * Reads the complete body of a backend server's response, up to a maximum size and within
+ * the memory that responses may occupy.
  */
 final class ResponseBodyReader {
 
@@ -18,24 +19,32 @@
 	 * is complete only if the connection was closed without an error.
 	 * @param response the response
 	 * @param maxBytes maximum size of the body, in bytes
+	 * @param memory limits the memory of all responses
 	 * @return the body; fails if it is truncated or too large
 	 */
-	static Future<Buffer> read(HttpClientResponse response, int maxBytes) {
+	static Future<Buffer> read(HttpClientResponse response, int maxBytes, ResponseMemory memory) {
 		Promise<Buffer> promise = Promise.promise();
 		Buffer content = Buffer.buffer();
 		response.handler((chunk) -> {
+			if (promise.future().isComplete()) {
+				return;
+			}
 			if (content.length() + chunk.length() > maxBytes) {
 				promise.tryFail("response body exceeds " + maxBytes + " bytes");
-				return;
 			}
-			content.appendBuffer(chunk);
+			else if (!memory.tryReserve(content.length(), chunk.length())) {
+				promise.tryFail("responses of backend servers occupy the available memory");
+			}
+			else {
+				content.appendBuffer(chunk);
+			}
 		});
 		response.request()
 			.connection()
 			.exceptionHandler((cause) -> promise.tryFail("connection failed: " + cause.getMessage()));
 		response.exceptionHandler((cause) -> promise.tryFail(String.valueOf(cause.getMessage())));
 		response.endHandler((ended) -> promise.tryComplete(content));
-		return promise.future();
+		return promise.future().onComplete((read) -> memory.release(content.length()));
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -19,6 +19,12 @@
  */
 final class ServerCall {
 
+	/**
+	 * Maximum number of informational responses (status 1xx) before the final one;
+	 * servers that send more do not respond.
+	 */
+	private static final int MAX_INFORMATIONAL_RESPONSES = 8;
+
 	private final ForwardingContext context;
 
 	private final ListedServer server;
@@ -29,6 +35,8 @@
 
 	private HttpClientRequest outgoing;
 
+	private int informationalResponses;
+
 	private boolean sent;
 
 	private boolean ended;
@@ -73,6 +81,8 @@
 					headReceived(response.result(), requestId);
 				}
 			});
+			this.outgoing.continueHandler((ignored) -> informationalResponse());
+			this.outgoing.earlyHintsHandler((ignored) -> informationalResponse());
 			this.sent = true;
 			if (body.length() > 0) {
 				this.outgoing.end(body.copy());
@@ -83,6 +93,13 @@
 		});
 	}
 
+	private void informationalResponse() {
+		if (++this.informationalResponses > MAX_INFORMATIONAL_RESPONSES && !this.ended) {
+			this.outgoing.reset();
+			fail(new AttemptOutcome.Broken("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses"));
+		}
+	}
+
 	private void headReceived(HttpClientResponse response, String requestId) {
 		if (this.ended) {
 			return;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -225,25 +225,26 @@
 
 	private void prefilled(ListedServer engine, ListedServer then, HttpClientResponse serverResponse) {
 		ServerCall current = this.prefillCall;
-		ResponseBodyReader.read(serverResponse, context().limits().maxResponseBytes()).onComplete((read) -> {
-			if (this.prefillCall != current || isDone()) {
-				return;
-			}
-			Optional<String> handle = (read.succeeded() && serverResponse.statusCode() == OK)
-					? context().dialect().cacheHandle(read.result()) : Optional.empty();
-			if (handle.isEmpty()) {
+		ResponseBodyReader.read(serverResponse, context().limits().maxResponseBytes(), context().responseMemory())
+			.onComplete((read) -> {
+				if (this.prefillCall != current || isDone()) {
+					return;
+				}
+				Optional<String> handle = (read.succeeded() && serverResponse.statusCode() == OK)
+						? context().dialect().cacheHandle(read.result()) : Optional.empty();
+				if (handle.isEmpty()) {
+					this.prefillCall = null;
+					current.cancel();
+					prefillFailed(engine, new AttemptOutcome.Broken("status " + serverResponse.statusCode()));
+					return;
+				}
 				this.prefillCall = null;
-				current.cancel();
-				prefillFailed(engine, new AttemptOutcome.Broken("status " + serverResponse.statusCode()));
-				return;
-			}
-			this.prefillCall = null;
-			cancelTimeout();
-			endPrefill();
-			context().state().engines().recordSuccess(engine.name());
-			context().metrics().time("prefill", System.nanoTime() - this.attemptNanos);
-			decode(then, new KvCache(engine, handle.get()));
-		});
+				cancelTimeout();
+				endPrefill();
+				context().state().engines().recordSuccess(engine.name());
+				context().metrics().time("prefill", System.nanoTime() - this.attemptNanos);
+				decode(then, new KvCache(engine, handle.get()));
+			});
 	}
 
 	// A prefill generates no output, so a request whose prefill failed has not run.
@@ -314,27 +315,29 @@
 
 	private void nonStreamResponse(HttpClientResponse serverResponse) {
 		ServerCall current = this.decodeCall;
-		ResponseBodyReader.read(serverResponse, context().limits().maxResponseBytes()).onComplete((read) -> {
-			if (this.decodeCall != current || isDone()) {
-				return;
-			}
-			if (read.failed() || this.headSent) {
-				abortDecode(current, "status " + serverResponse.statusCode());
-				return;
-			}
-			endDecode();
-			attempts().ended(new AttemptOutcome.Answered(serverResponse.statusCode()), false);
-			if (finish("answered", serverResponse.statusCode())) {
-				sendHead(serverResponse);
-				request().response().end(read.result());
-			}
-		});
+		ResponseBodyReader.read(serverResponse, context().limits().maxResponseBytes(), context().responseMemory())
+			.onComplete((read) -> {
+				if (this.decodeCall != current || isDone()) {
+					return;
+				}
+				if (read.failed() || this.headSent) {
+					abortDecode(current, "status " + serverResponse.statusCode());
+					return;
+				}
+				endDecode();
+				attempts().ended(new AttemptOutcome.Answered(serverResponse.statusCode()), false);
+				if (finish("answered", serverResponse.statusCode())) {
+					sendHead(serverResponse);
+					request().response().end(read.result());
+				}
+			});
 	}
 
 	private void bytesReceived(ServerCall current, Buffer bytes) {
 		if (this.decodeCall != current || isDone()) {
 			return;
 		}
+		long previousEventId = this.lastEventId;
 		try {
 			this.splitter.feed(bytes.getBytes()).forEach(this::forward);
 		}
@@ -342,7 +345,8 @@
 			abortDecode(current, ex.getMessage());
 			return;
 		}
-		if (attempts().mayFailOver() && !isDone()) {
+		// Only events are progress: an engine that has stalled may still send bytes.
+		if (this.lastEventId > previousEventId && attempts().mayFailOver() && !isDone()) {
 			startTimeout(EVENT_TIMEOUT_MILLIS, () -> decodeTimedOut("timed out waiting for the next event"));
 		}
 	}
