Save calls of the store and processor time in large fleets

When a fleet starts, the reader of a region has no view yet; each router then watched the store itself for two seconds. Every configuration is larger than 4 KB and was read by each router.

Change: a relayed watch waits for the first view of a reader that starts; changes of up to 32 KB are relayed.

Calls of the store are not measured yet.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
@@ -181,6 +181,12 @@
 
 	private Optional<PrefixRead> answer(StoreWatchQuery query, boolean expired, long nowNanos) {
 		StoreHistory history = this.histories.get(query.getPrefix());
+		if (history == null && !expired) {
+			// All routers of a fleet start simultaneously: the first answer of the store
+			// is
+			// still outstanding.
+			return Optional.empty();
+		}
 		if (history == null || history.ageNanos(nowNanos) >= MAX_VIEW_AGE_MILLIS * NANOS_PER_MILLI) {
 			return Optional.of(new PrefixRead.Unavailable("no recent view of the store"));
 		}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/StoreHistory.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/StoreHistory.java
@@ -18,10 +18,10 @@
 	private static final int MAX_BATCHES = 64;
 
 	/**
-	 * Maximum total size of the values returned. Larger changes are read from the store,
-	 * whose link has more bandwidth.
+	 * Maximum total size of the values returned; a configuration of a hundred routes
+	 * fits. Larger changes are read from the store, whose link has more bandwidth.
 	 */
-	private static final int MAX_VALUE_BYTES = 4096;
+	private static final int MAX_VALUE_BYTES = 32 << 10;
 
 	private final Deque<Batch> batches = new ArrayDeque<>();
 
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/RelayedPrefixStoreTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/RelayedPrefixStoreTests.java
@@ -60,6 +60,8 @@
 
 	private final List<String> bypassingRouters = new CopyOnWriteArrayList<>();
 
+	private List<String> bypassedAtStart;
+
 	@BeforeEach
 	void start() throws Exception {
 		runOnEventLoop(() -> MEMBERS.forEach(this::watch));
@@ -68,6 +70,7 @@
 		}
 		// Lets the reader's first watch and the first queries of the routers to it end.
 		Thread.sleep(2500);
+		this.bypassedAtStart = List.copyOf(this.bypassingRouters);
 		this.bypassingRouters.clear();
 	}
 
@@ -117,6 +120,11 @@
 		assertThat(this.bypassingRouters).isEmpty();
 	}
 
+	@Test
+	void routersThatStartWithTheReaderWaitForItsFirstView() {
+		assertThat(this.bypassedAtStart).isEmpty();
+	}
+
 	@Test
 	void changeArrivesInTimeWhenReaderCannotReachStore() throws Exception {
 		runOnEventLoop(() -> this.store.unresponsiveFor = READER.host());
