--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/QueueDeadlines.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/QueueDeadlines.java
@@ -18,18 +18,8 @@
 	 */
 	private static final double START_SHARE = 0.5;
 
-	/**
-	 * Maximum time reserved for a stream when the wait ends, which is that of a stream of
-	 * average length. The estimates of callers are often too high, so a longer estimate
-	 * is no reason to refuse a stream.
-	 */
-	private static final long MAX_STREAM_MILLIS = 4000;
-
-	/** Time until the first event of a stream that is placed when its wait ends. */
-	private static final long FIRST_EVENT_MILLIS = 600;
-
-	/** Time for each token on an engine with ten streams. */
-	private static final double MILLIS_PER_TOKEN = 4.6;
+	/** Time that a stream of average length takes, reserved when the wait ends. */
+	private static final long TYPICAL_STREAM_MILLIS = 4000;
 
 	/**
 	 * Time reserved for the start of a stream when the wait ends: prefill under load and
@@ -45,18 +35,11 @@
 	 * @param arrivedNanos when it arrived
 	 * @param nowNanos the present time
 	 * @param remainingMillis time until its caller gives up, in milliseconds
-	 * @param expectedOutputTokens number of tokens that the stream is expected to
-	 * generate, 0 if not known
 	 * @return the deadlines
 	 */
 	public static QueueDeadlines forNewStream(ForwardingRoute route, long arrivedNanos, long nowNanos,
-			long remainingMillis, int expectedOutputTokens) {
-		return of(route, arrivedNanos, nowNanos, remainingMillis - streamMillis(expectedOutputTokens));
-	}
-
-	private static long streamMillis(int expectedOutputTokens) {
-		long estimate = FIRST_EVENT_MILLIS + Math.round(expectedOutputTokens * MILLIS_PER_TOKEN);
-		return (expectedOutputTokens > 0) ? Math.min(MAX_STREAM_MILLIS, estimate) : MAX_STREAM_MILLIS;
+			long remainingMillis) {
+		return of(route, arrivedNanos, nowNanos, remainingMillis - TYPICAL_STREAM_MILLIS);
 	}
 
 	/**
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/QueueDeadlinesTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/QueueDeadlinesTests.java
@@ -19,13 +19,13 @@
 
 	@Test
 	void reservesHalfOfTargetForStart() {
-		QueueDeadlines deadlines = QueueDeadlines.forNewStream(ROUTE, 100 * MILLI, 300 * MILLI, 14_000, 840);
+		QueueDeadlines deadlines = QueueDeadlines.forNewStream(ROUTE, 100 * MILLI, 300 * MILLI, 14_000);
 		assertThat(deadlines.onTimeUntilNanos()).isEqualTo((100 + 450) * MILLI);
 	}
 
 	@Test
 	void newStreamIsRefusedBeforeCallerAbortsIt() {
-		QueueDeadlines deadlines = QueueDeadlines.forNewStream(ROUTE, 100 * MILLI, 300 * MILLI, 14_000, 840);
+		QueueDeadlines deadlines = QueueDeadlines.forNewStream(ROUTE, 100 * MILLI, 300 * MILLI, 14_000);
 		assertThat(deadlines.refuseAtNanos()).isEqualTo((100 + 3600 - 800) * MILLI);
 		assertThat(deadlines.expired(300 * MILLI)).isFalse();
 		assertThat(deadlines.expired(2900 * MILLI)).isTrue();
@@ -33,22 +33,10 @@
 
 	@Test
 	void streamThatCannotEndBeforeDeadlineDoesNotWait() {
-		assertThat(QueueDeadlines.forNewStream(ROUTE, 0, 10 * MILLI, 3900, 0).expired(10 * MILLI)).isTrue();
+		assertThat(QueueDeadlines.forNewStream(ROUTE, 0, 10 * MILLI, 3900).expired(10 * MILLI)).isTrue();
 		assertThat(QueueDeadlines.forInterruptedStream(ROUTE, 10 * MILLI, 3900).expired(10 * MILLI)).isFalse();
 	}
 
-	@Test
-	void shortStreamOfReturningCallerWaitsAsLongAsItCanStillEnd() {
-		QueueDeadlines deadlines = QueueDeadlines.forNewStream(ROUTE, 0, 0, 3000, 300);
-		assertThat(deadlines.expired(0)).isFalse();
-		assertThat(deadlines.refuseAtNanos()).isEqualTo((3000 - 600 - 1380) * MILLI);
-	}
-
-	@Test
-	void highEstimateIsNoReasonToRefuse() {
-		assertThat(QueueDeadlines.forNewStream(ROUTE, 0, 0, 6000, 2000).expired(0)).isFalse();
-	}
-
 	@Test
 	void deadlinesOfInterruptedStreamStartAtLastEvent() {
 		QueueDeadlines deadlines = QueueDeadlines.forInterruptedStream(ROUTE, 5000 * MILLI, 9000);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -122,8 +122,7 @@
 	private void await() {
 		long nowNanos = System.nanoTime();
 		QueueDeadlines times = this.headSent ? QueueDeadlines.forInterruptedStream(route(), nowNanos, remainingMillis())
-				: QueueDeadlines.forNewStream(route(), startNanos(), nowNanos, remainingMillis(),
-						metadata().expectedOutputTokens());
+				: QueueDeadlines.forNewStream(route(), startNanos(), nowNanos, remainingMillis());
 		log("waiting", "waiting", context().waiting().size(), "longest_millis",
 				(times.refuseAtNanos() - nowNanos) / NANOS_PER_MILLI);
 		if (times.expired(nowNanos)
