Keep membership and store views running after an unexpected error

Cause: the periodic task of the membership is cancelled by its first exception, after which the router answers probes but sends none and refutes nothing by itself; an error of a store listener ended the watch, so that one malformed value left the view stale until the restart; an error while a waiting stream is placed left the other waiting streams without their next placement.

Change: the first two are caught, logged and go on; the placement of waiting streams is scheduled in any case.

The third has no test of its own.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WaitingStreams.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WaitingStreams.java
@@ -74,8 +74,12 @@
 			this.scheduled = true;
 			this.vertx.setTimer(POLL_MILLIS, (id) -> {
 				this.scheduled = false;
-				this.queues.values().forEach(this::drain);
-				schedule();
+				try {
+					this.queues.values().forEach(this::drain);
+				}
+				finally {
+					schedule();
+				}
 			});
 		}
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/peer/MembershipDriver.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/peer/MembershipDriver.java
@@ -1,5 +1,7 @@
 package io.balsamlane.router.peer;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +30,8 @@
  */
 final class MembershipDriver {
 
+	private static final Logger logger = System.getLogger(MembershipDriver.class.getName());
+
 	private static final int TICKS_PER_TIMEOUT = 4;
 
 	private final PeerSettings settings;
@@ -67,8 +71,18 @@
 		this.detector.announceRevision(this.revision);
 		run((nowNanos) -> this.detector.setSeeds(this.seeds, nowNanos));
 		long tickMillis = Math.max(1, this.settings.getProbeTimeoutMillis() / TICKS_PER_TIMEOUT);
-		this.timer = this.eventLoop.scheduleWithFixedDelay(() -> run(this.detector::tick), tickMillis, tickMillis,
-				TimeUnit.MILLISECONDS);
+		this.timer = this.eventLoop.scheduleWithFixedDelay(this::tick, tickMillis, tickMillis, TimeUnit.MILLISECONDS);
+	}
+
+	// An exception would end the periodic task, and the other routers would remove this
+	// one.
+	private void tick() {
+		try {
+			run(this.detector::tick);
+		}
+		catch (RuntimeException ex) {
+			logger.log(Level.ERROR, "Membership tick failed; it is repeated at its next time", ex);
+		}
 	}
 
 	void cancelTimer() {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
@@ -1,5 +1,7 @@
 package io.balsamlane.router.store;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +17,8 @@
  */
 public final class PrefixWatcher {
 
+	private static final Logger logger = System.getLogger(PrefixWatcher.class.getName());
+
 	private static final long MIN_RETRY_DELAY_MILLIS = 100;
 
 	private static final long MAX_RETRY_DELAY_MILLIS = 800;
@@ -132,7 +136,7 @@
 			if (result instanceof PrefixRead.Listed listed) {
 				handleRecovery();
 				replaceView(listed.items(), System.nanoTime());
-				this.listener.listed(listed.items(), afterOutage());
+				notifyListener(() -> this.listener.listed(listed.items(), afterOutage()));
 				watch(listed.revision());
 			}
 			else {
@@ -166,7 +170,7 @@
 				handleRecovery();
 				changed.changes().forEach(this::applyChange);
 				this.confirmedNanos = System.nanoTime();
-				this.listener.changed(changed.changes(), afterOutage());
+				notifyListener(() -> this.listener.changed(changed.changes(), afterOutage()));
 				watch(changed.revision());
 			}
 			else if (result instanceof PrefixRead.HistoryLost) {
@@ -178,6 +182,17 @@
 		});
 	}
 
+	// The watch continues after an error of the listener; otherwise one unexpected value
+	// would leave the view stale for the rest of the process's life.
+	private void notifyListener(Runnable notification) {
+		try {
+			notification.run();
+		}
+		catch (RuntimeException ex) {
+			logger.log(Level.ERROR, "Listener for " + this.prefix + " failed; the change is not applied", ex);
+		}
+	}
+
 	private void replaceView(List<PrefixRead.Item> items, long atNanos) {
 		this.view.clear();
 		items.forEach(this::applyChange);
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
@@ -93,6 +93,15 @@
 		assertThat(this.store.calls).containsSubsequence("list", "watch 5", "watch 6");
 	}
 
+	@Test
+	void errorOfListenerDoesNotEndTheWatch() throws Exception {
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("malformed")), 5));
+		this.store.answers.add(new PrefixRead.Changed(List.of(item("malformed")), 6));
+		this.store.answers.add(new PrefixRead.Changed(List.of(item("b")), 7));
+		start();
+		awaitEvent("changed [servers/b]");
+	}
+
 	@Test
 	void lostHistoryCausesFullRead() throws Exception {
 		this.store.answers.add(new PrefixRead.Listed(List.of(item("a")), 5));
@@ -145,16 +154,24 @@
 		assertThat(this.events).doesNotContain("taken");
 	}
 
+	private static void requireWellFormed(List<PrefixRead.Item> items) {
+		if (items.stream().anyMatch((item) -> item.key().endsWith("malformed"))) {
+			throw new IllegalArgumentException("malformed value");
+		}
+	}
+
 	private final class Recorder implements PrefixWatcher.Listener {
 
 		@Override
 		public void listed(List<PrefixRead.Item> items, boolean afterOutage) {
+			requireWellFormed(items);
 			PrefixWatcherTests.this.events.add("listed " + items.stream().map(PrefixRead.Item::key).toList()
 					+ (afterOutage ? " after an outage" : ""));
 		}
 
 		@Override
 		public void changed(List<PrefixRead.Item> changes, boolean afterOutage) {
+			requireWellFormed(changes);
 			PrefixWatcherTests.this.events.add("changed " + changes.stream().map(PrefixRead.Item::key).toList());
 		}
 
