--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
@@ -65,35 +65,42 @@
 				remove(name, afterOutage, nowNanos).ifPresent(changes::add);
 			}
 		}
-		byName.values().forEach((server) -> put(server).ifPresent(changes::add));
+		byName.values().forEach((server) -> changes.addAll(put(server)));
 		return changes;
 	}
 
 	/**
 	 * Add or update one entry of the list.
 	 * @param server the server
-	 * @return the change, empty if nothing changed
+	 * @return the changes, empty if nothing changed
 	 */
-	public Optional<Change> put(ListedServer server) {
+	public List<Change> put(ListedServer server) {
 		State state = this.states.get(server.name());
 		if (state == null && this.states.size() >= this.maxServers) {
-			return Optional.of(new Change(server, "left-out"));
+			return List.of(new Change(server, "left-out"));
 		}
 		if (state == null || !state.listed.sameIncarnation(server)) {
-			this.states.values()
-				.stream()
-				.filter((other) -> other.supersededBy(server))
-				.forEach((other) -> other.leavingReported = true);
-			State added = new State(server);
-			added.leavingReported = this.states.values().stream().anyMatch((other) -> added.supersededBy(other.listed));
-			this.states.put(server.name(), added);
-			return Optional.of(new Change(server, server.server().leaving() ? "draining" : "listed"));
+			return add(new State(server));
 		}
 		boolean changed = !state.listed.equals(server) || state.missing;
 		state.listed = server;
 		state.missing = false;
-		return changed ? Optional.of(new Change(server, server.server().leaving() ? "draining" : "changed"))
-				: Optional.empty();
+		return changed ? List.of(new Change(server, server.server().leaving() ? "draining" : "changed")) : List.of();
+	}
+
+	private List<Change> add(State added) {
+		List<Change> changes = new ArrayList<>();
+		added.excluded = this.states.values().stream().anyMatch((other) -> added.supersededBy(other.listed));
+		this.states.values()
+			.stream()
+			.filter((other) -> !other.excluded && other.supersededBy(added.listed))
+			.forEach((other) -> {
+				other.excluded = true;
+				changes.add(new Change(other.listed, "superseded"));
+			});
+		this.states.put(added.listed.name(), added);
+		changes.add(new Change(added.listed, added.listed.server().leaving() ? "draining" : "listed"));
+		return changes;
 	}
 
 	/**
@@ -142,10 +149,10 @@
 	 */
 	public boolean markLeaving(ListedServer server) {
 		State state = this.states.get(server.name());
-		if (state == null || state.leavingReported || !state.listed.sameIncarnation(server)) {
+		if (state == null || state.excluded || !state.listed.sameIncarnation(server)) {
 			return false;
 		}
-		state.leavingReported = true;
+		state.excluded = true;
 		return true;
 	}
 
@@ -169,7 +176,7 @@
 	private Stream<ListedServer> usable() {
 		return this.states.values()
 			.stream()
-			.filter((state) -> !state.leavingReported && !state.listed.server().leaving())
+			.filter((state) -> !state.excluded && !state.listed.server().leaving())
 			.map((state) -> state.listed);
 	}
 
@@ -185,8 +192,8 @@
 	 * A change to the table.
 	 *
 	 * @param server the server
-	 * @param kind kind of change: listed, changed, draining, missing-after-outage, gone
-	 * or left-out
+	 * @param kind kind of change: listed, changed, draining, superseded,
+	 * missing-after-outage, gone or left-out
 	 */
 	public record Change(ListedServer server, String kind) {
 	}
@@ -195,7 +202,7 @@
 
 		private ListedServer listed;
 
-		private boolean leavingReported;
+		private boolean excluded;
 
 		private boolean missing;
 
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ServerTableTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ServerTableTests.java
@@ -44,7 +44,8 @@
 	@Test
 	void crashedServerIsExcludedOnceItsSuccessorIsListed() {
 		this.table.put(server("a", false, 1));
-		this.table.put(server("b", false, 2));
+		assertThat(this.table.put(server("b", false, 2))).extracting(ServerTable.Change::kind)
+			.containsExactly("superseded", "listed");
 		assertThat(usable()).containsExactly("b");
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -122,7 +122,7 @@
 	 * @param listed the server
 	 */
 	public void serverListed(ListedServer listed) {
-		this.servers.put(listed).ifPresent(this::changed);
+		this.servers.put(listed).forEach(this::changed);
 	}
 
 	/**
