--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestAttempts.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestAttempts.java
@@ -22,10 +22,10 @@
 	private static final int MAX_UNSENT = 3;
 
 	/**
-	 * Maximum number of servers that may reject a request without running it, after which
-	 * it is refused. Bounds the load that rejected requests add to a full service.
+	 * Maximum number of further servers to which a request is sent that was rejected
+	 * without running. Bounds the load that rejected requests add to a full service.
 	 */
-	private static final int MAX_REJECTED = 2;
+	private static final int MAX_RETRIES_AFTER_REJECTION = 2;
 
 	private static final int SERVER_ERROR = 500;
 
@@ -105,7 +105,8 @@
 
 	// Servers that rejected the request have not run it and do not count as attempts.
 	private boolean mayRepeat(boolean timeLeft) {
-		return timeLeft && this.ran < this.maxAttempts && this.rejected <= MAX_REJECTED && this.budget.getAsBoolean();
+		return timeLeft && this.ran < this.maxAttempts && this.rejected <= MAX_RETRIES_AFTER_REJECTION
+				&& this.budget.getAsBoolean();
 	}
 
 	/**
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -152,8 +152,7 @@
 		return healthy.isEmpty() ? ofStage : healthy;
 	}
 
-	// The work of an engine that crashed has ended, so it seems idle and would receive
-	// all
+	// The work of a crashed engine has ended, so it seems idle and would receive all
 	// waiting requests at once.
 	private boolean trialInProgress(ServerName engine, long nowNanos) {
 		return this.own.containsKey(engine) && this.observations.isOnTrial(engine, nowNanos);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingLimits.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingLimits.java
@@ -9,7 +9,8 @@
  * @param maxConnections maximum number of connections to one server
  * @param maxResponseBytes maximum size of a response that is read completely, in bytes
  * @param maxEventBytes maximum size of an event of a stream, in bytes
- * @param maxBufferedBytes maximum total size of the request bodies in memory, in bytes
+ * @param maxBufferedBytes maximum total size of the request bodies in memory, and of the
+ * incomplete responses, in bytes
  * @param maxConcurrentRequests maximum number of requests in progress
  */
 public record ForwardingLimits(int connectTimeoutMillis, int keepAliveSeconds, int maxConnections, int maxResponseBytes,
