Log the prompt parts of interrupted streams and the delay of crash detection

Cause: the logs named neither the parts of a prompt nor the requests that were suspected at a crash, so they could not tell whether the quarantine overlooks a shared part or learns of crashes too late. Change: attempt-ended names the parts and the number of events of the server, server-crashed the request and the delay of the detection. Measured: contract and dialect tests green.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestMetadata.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestMetadata.java
@@ -1,7 +1,10 @@
 package io.balsamlane.core.forwarding;
 
+import java.util.List;
 import java.util.Objects;
 
+import io.balsamlane.core.model.PromptPart;
+
 /**
  * Metadata that a caller declares about a request.
  *
@@ -14,9 +17,11 @@
  * 0 if not declared
  * @param lastEventId id of the last event of the stream that the caller received, 0 if
  * none
+ * @param promptParts parts of the prompt in their order, empty if not declared; requests
+ * share parts, except for the last one
  */
 public record RequestMetadata(String requestId, long deadlineMillis, int promptTokens, int maxOutputTokens,
-		int expectedOutputTokens, long lastEventId) {
+		int expectedOutputTokens, long lastEventId, List<PromptPart> promptParts) {
 
 	/**
 	 * Average share of the output that requests in progress on an engine have generated.
@@ -26,6 +31,7 @@
 
 	public RequestMetadata {
 		Objects.requireNonNull(requestId, "requestId");
+		promptParts = List.copyOf(promptParts);
 	}
 
 	/**
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ForwardingFixture.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ForwardingFixture.java
@@ -1,5 +1,7 @@
 package io.balsamlane.core.forwarding;
 
+import java.util.List;
+
 import io.balsamlane.core.model.BackendServer;
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.Place;
@@ -28,7 +30,7 @@
 	}
 
 	static RequestMetadata request(int promptTokens, int outputTokens) {
-		return new RequestMetadata("request", 14_000, promptTokens, 2040, outputTokens, 0);
+		return new RequestMetadata("request", 14_000, promptTokens, 2040, outputTokens, 0, List.of());
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
@@ -169,6 +169,9 @@
 		long nowNanos = System.nanoTime();
 		losses.forEach((fingerprint, loss) -> {
 			if (nowNanos - loss.atNanos() < MAX_LOSS_AGE_NANOS) {
+				this.log.log("server-crashed", "", "server", loss.incarnation(), "fingerprint",
+						Long.toHexString(fingerprint), "detected_after_millis",
+						(nowNanos - loss.atNanos()) / NANOS_PER_MILLI);
 				this.quarantine.died(loss.incarnation(), Map.of(fingerprint, loss.lastEventId()), nowNanos);
 				if (this.unreportedCrashes.isEmpty()) {
 					this.vertx.setTimer(REPORT_BATCH_MILLIS, (id) -> reportCrashes());
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -93,6 +93,9 @@
 
 	private long lastEventId;
 
+	/** Number of events that the current server has sent. */
+	private int serverEvents;
+
 	private boolean headSent;
 
 	private int failedPrefills;
@@ -277,6 +280,7 @@
 		this.cache = source;
 		this.splitter = EventSplitter.create(context().limits().maxEventBytes());
 		this.stream = null;
+		this.serverEvents = 0;
 		attempts().started(engine.name());
 		this.excluded.add(engine.name());
 		this.decodeCall = new ServerCall(context(), engine, this::streaming, this::decodeEnded);
@@ -352,6 +356,7 @@
 	}
 
 	private void forward(EventSplitter.Event event) {
+		this.serverEvents++;
 		boolean numbered = event.id() != EventSplitter.Event.NO_ID;
 		if (numbered && event.id() <= this.lastEventId) {
 			return;
@@ -435,7 +440,8 @@
 		this.failures.decodeFailed(engine, source, engineLimits(), outcome);
 		recordBrokenAttempt(engine, outcome, this.lastEventId);
 		NextStep step = attempts().ended(outcome, hasTimeForAttempt());
-		log("attempt-ended", "server", engine.name(), "outcome", outcome, "next", step, "last_event", this.lastEventId);
+		log("attempt-ended", "server", engine.name(), "outcome", outcome, "next", step, "last_event", this.lastEventId,
+				"server_events", this.serverEvents, "parts", metadata().promptParts());
 		context().metrics().count("attempts_failed_total", outcome.getClass().getSimpleName());
 		if (step == NextStep.TRY_AGAIN) {
 			this.resumed = true;
