Quarantine prompt parts under which engines crash

Callers saw streams break off and end with 502 while engine after engine crashed, 41 in 16 s; requests with one prompt part kept reaching engines for as long as they came. Cause: the quarantine recognised a request by a checksum of path and body, so requests that share only a prompt part never counted as the same. A crash also counted only once the server list showed it, 2.5 to 3.7 s later (server-crashed, detected_after_millis), and no request was looked at again after it had been accepted. Change: PromptPartQuarantine (core, pure) attributes crashes to parts: three crashes in sequence, each under a request sent after the previous crash, and no output of the part since, on any router. Bystanders are told apart by their smaller sets of crashes. A server that closed a connection without output is probed at once. Requests are checked at each attempt and ended when they are quarantined while in progress.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestMetadata.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/RequestMetadata.java
@@ -17,8 +17,8 @@
  * 0 if not declared
  * @param lastEventId id of the last event of the stream that the caller received, 0 if
  * none
- * @param promptParts parts of the prompt in their order, empty if not declared; requests
- * share parts, except for the last one
+ * @param promptParts parts of the prompt in their order, empty if not declared; the last
+ * one belongs to this request or to its session
  */
 public record RequestMetadata(String requestId, long deadlineMillis, int promptTokens, int maxOutputTokens,
 		int expectedOutputTokens, long lastEventId, List<PromptPart> promptParts) {
@@ -34,6 +34,14 @@
 		promptParts = List.copyOf(promptParts);
 	}
 
+	/**
+	 * Return the parts of the prompt that other requests may share.
+	 * @return all parts but the last one
+	 */
+	public List<PromptPart> sharedPromptParts() {
+		return this.promptParts.subList(0, Math.max(0, this.promptParts.size() - 1));
+	}
+
 	/**
 	 * Return the average number of KV cache tokens that the request holds while it runs
 	 * alongside other requests on an engine.
--- a/balsamlane-core/src/main/java/io/balsamlane/core/retry/Quarantine.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/retry/Quarantine.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Identifies and quarantines requests that crash the backend servers that run them.
@@ -220,6 +221,18 @@
 		return until != null && nowNanos - until < 0;
 	}
 
+	/**
+	 * Return the requests in quarantine with their remaining times.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return the remaining times in nanoseconds, by fingerprint
+	 */
+	public Map<Long, Long> remainingNanos(long nowNanos) {
+		return this.quarantinedUntilNanos.entrySet()
+			.stream()
+			.filter((entry) -> nowNanos - entry.getValue() < 0)
+			.collect(Collectors.toMap(Map.Entry::getKey, (entry) -> entry.getValue() - nowNanos));
+	}
+
 	/**
 	 * Decision to quarantine a request.
 	 *
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
@@ -19,6 +19,10 @@
  */
 public record Refusal(int status, String kind, Ran ran, String detail, String remedy, int retryAfterMillis) {
 
+	private static final int BAD_GATEWAY = 502;
+
+	private static final int UNAVAILABLE = 503;
+
 	/**
 	 * Create an error response without a retry time.
 	 * @param status the HTTP status code
@@ -69,6 +73,18 @@
 		return new Refusal(kind.status(), kind.text(), ran, detail, kind.remedy(), retryAfterMillis);
 	}
 
+	/**
+	 * Create the error response to a request that crashes backend servers. It has no
+	 * retry time, because waiting does not help.
+	 * @param ran whether the request ran; if it may have, the status promises nothing
+	 * @return the error response
+	 */
+	public static Refusal quarantined(Ran ran) {
+		return of((ran == Ran.NO) ? UNAVAILABLE : BAD_GATEWAY, ErrorKind.QUARANTINED.text(), ran,
+				"backend servers crashed while they ran this request or one with the same prompt part",
+				ErrorKind.QUARANTINED.remedy());
+	}
+
 	/**
 	 * Create an error response from a kind that another router may have sent.
 	 * @param kind text of the kind
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
@@ -1,21 +1,36 @@
 package io.balsamlane.router.forwarding;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.zip.CRC32C;
 
 import io.balsamlane.core.forwarding.ListedServer;
 import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.PromptPart;
 import io.balsamlane.core.model.ServerName;
+import io.balsamlane.core.retry.PromptPartQuarantine;
 import io.balsamlane.core.retry.Quarantine;
+import io.balsamlane.router.forwarding.LostConnections.LostRequest;
 import io.balsamlane.router.peer.PeerNetwork;
+import io.balsamlane.router.peer.PeerReply;
 import io.balsamlane.schema.Acknowledgement;
+import io.balsamlane.schema.CrashSuspect;
 import io.balsamlane.schema.PeerMessage;
+import io.balsamlane.schema.PromptPartOutput;
+import io.balsamlane.schema.PromptPartQuery;
+import io.balsamlane.schema.PromptPartReply;
+import io.balsamlane.schema.QuarantineEntry;
 import io.balsamlane.schema.QuarantineNotice;
+import io.balsamlane.schema.QuarantineSync;
 import io.balsamlane.schema.ServerDeath;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -23,27 +38,37 @@
 import io.vertx.core.http.HttpServerRequest;
 
 /**
- * Detects requests that crash the backend servers that run them, and quarantines them.
- * The routers do this jointly: each reports to the others which of its requests were
- * interrupted on a server that then terminated. All methods run on one event loop.
+ * Detects requests and parts of prompts under which backend servers crash, and
+ * quarantines them. The routers do this jointly: each reports to the others which of its
+ * requests were interrupted on a server that then terminated. All methods run on one
+ * event loop.
  */
 public final class CrashGuard {
 
+	/**
+	 * Number of events after which a request has shown that it does not crash servers.
+	 */
+	static final int OUTPUT_EVENTS = Quarantine.CLEARING_TOKENS;
+
 	private static final int MAX_CRASHES = 64;
 
 	private static final int MAX_QUARANTINED = 256;
 
+	private static final int MAX_PROMPT_PARTS = 4096;
+
 	/** Time within which all routers lose their connections to one crashed server. */
 	private static final long CRASH_MERGE_NANOS = 2_000_000_000L;
 
 	/** Callers retry such a request for at most a few minutes. */
 	private static final long RETENTION_NANOS = 120_000_000_000L;
 
-	/**
-	 * Maximum age of a lost connection when the termination of its server is detected:
-	 * the server list shows it after three missed heartbeats and some propagation delay.
-	 */
-	private static final long MAX_LOSS_AGE_NANOS = 8_000_000_000L;
+	/** Longest time to live of a lease, under which the quarantine is stored. */
+	private static final long PART_RETENTION_NANOS = 600_000_000_000L;
+
+	/** Time for a crashing server to close its listening port after its connections. */
+	private static final long PROBE_DELAY_MILLIS = 20;
+
+	private static final int PROBE_TIMEOUT_MILLIS = 500;
 
 	/** Crashes within this time are reported to the other routers in one batch. */
 	private static final long REPORT_BATCH_MILLIS = 30;
@@ -53,31 +78,43 @@
 
 	private static final long CALL_TIMEOUT_MILLIS = 500;
 
+	/**
+	 * A router that does not answer in time is not waited for, because servers may be
+	 * crashing meanwhile.
+	 */
+	private static final long QUERY_TIMEOUT_MILLIS = 250;
+
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
 	private final Vertx vertx;
 
 	private final PeerNetwork peers;
 
+	private final ServerProbe probe;
+
 	private final DecisionLog log;
 
-	private final Quarantine quarantine = Quarantine.create(MAX_CRASHES, MAX_QUARANTINED, CRASH_MERGE_NANOS,
+	private final Quarantine requests = Quarantine.create(MAX_CRASHES, MAX_QUARANTINED, CRASH_MERGE_NANOS,
 			RETENTION_NANOS);
 
-	private final Map<String, Set<Long>> unreportedCrashes = new HashMap<>();
+	private final PromptPartQuarantine parts = PromptPartQuarantine.create(MAX_CRASHES, MAX_PROMPT_PARTS,
+			PART_RETENTION_NANOS);
 
-	private final Map<ServerName, Map<Long, LostConnection>> lostConnections = new LinkedHashMap<>() {
+	private final LostConnections lostConnections = new LostConnections();
 
-		@Override
-		protected boolean removeEldestEntry(Map.Entry<ServerName, Map<Long, LostConnection>> eldest) {
-			return size() > MAX_CRASHES;
-		}
+	private final Set<ServerName> probing = new HashSet<>();
+
+	private final Map<String, List<LostRequest>> unreportedCrashes = new HashMap<>();
+
+	private final Set<TrackedRequest> inProgress = new LinkedHashSet<>();
 
+	private Consumer<QuarantineEntry> decisionListener = (entry) -> {
 	};
 
-	private CrashGuard(Vertx vertx, PeerNetwork peers, DecisionLog log) {
+	private CrashGuard(Vertx vertx, PeerNetwork peers, ServerProbe probe, DecisionLog log) {
 		this.vertx = vertx;
 		this.peers = peers;
+		this.probe = probe;
 		this.log = log;
 	}
 
@@ -89,19 +126,21 @@
 	 * @return the guard
 	 */
 	public static CrashGuard create(Vertx vertx, PeerNetwork peers, DecisionLog log) {
-		CrashGuard guard = new CrashGuard(vertx, peers, log);
-		peers.register(PeerMessage.BodyCase.SERVER_DEATH, (from, message) -> {
-			ServerDeath death = message.getServerDeath();
-			guard.quarantine.reported(death.getServer(), death.getFingerprintsList(), System.nanoTime());
-			guard.scheduleDecision();
-			return acknowledged();
-		});
+		return create(vertx, peers, ServerProbe.byConnecting(vertx, PROBE_TIMEOUT_MILLIS), log);
+	}
+
+	static CrashGuard create(Vertx vertx, PeerNetwork peers, ServerProbe probe, DecisionLog log) {
+		CrashGuard guard = new CrashGuard(vertx, peers, probe, log);
+		peers.register(PeerMessage.BodyCase.SERVER_DEATH,
+				(from, message) -> guard.crashReported(message.getServerDeath()));
+		peers.register(PeerMessage.BodyCase.PROMPT_PART_QUERY, (from, message) -> Future
+			.succeededFuture(PeerMessage.newBuilder().setPromptPartReply(guard.outputs(message.getPromptPartQuery()))));
 		peers.register(PeerMessage.BodyCase.QUARANTINE_NOTICE, (from, message) -> {
 			QuarantineNotice notice = message.getQuarantineNotice();
-			guard.quarantine.apply(notice.getFingerprint(), notice.getRemainingMillis() * NANOS_PER_MILLI,
-					System.nanoTime());
-			log.log("request-quarantined", "", "fingerprint", Long.toHexString(notice.getFingerprint()), "servers",
-					notice.getServersList(), "source", from.getHost());
+			guard.apply(List.of(QuarantineEntry.newBuilder()
+				.setValue(notice.getFingerprint())
+				.setRemainingMillis(notice.getRemainingMillis())
+				.build()), from.getHost());
 			return acknowledged();
 		});
 		return guard;
@@ -112,6 +151,14 @@
 			.succeededFuture(PeerMessage.newBuilder().setAcknowledgement(Acknowledgement.getDefaultInstance()));
 	}
 
+	/**
+	 * Set the listener that is notified of each decision of this router.
+	 * @param listener the listener
+	 */
+	void setDecisionListener(Consumer<QuarantineEntry> listener) {
+		this.decisionListener = listener;
+	}
+
 	/**
 	 * Compute a fingerprint that is equal for repetitions of the same request.
 	 * @param request the request
@@ -128,33 +175,72 @@
 
 	/**
 	 * Return whether a request is refused because it crashes servers.
-	 * @param fingerprint fingerprint of the request
-	 * @return true while it is quarantined
+	 * @param traits properties of the request
+	 * @return true while it or a part of its prompt is quarantined
+	 */
+	boolean isQuarantined(RequestTraits traits) {
+		long nowNanos = System.nanoTime();
+		return this.requests.isQuarantined(traits.fingerprint(), nowNanos)
+				|| traits.promptParts().stream().anyMatch((part) -> this.parts.isQuarantined(part, nowNanos));
+	}
+
+	/**
+	 * Return the number of requests and prompt parts in quarantine.
+	 * @return the number of entries
+	 */
+	int quarantinedCount() {
+		return entries().getEntriesCount();
+	}
+
+	/**
+	 * Notify a request if it is quarantined while it is in progress.
+	 * @param request the request
+	 */
+	void track(TrackedRequest request) {
+		this.inProgress.add(request);
+	}
+
+	void untrack(TrackedRequest request) {
+		this.inProgress.remove(request);
+	}
+
+	/**
+	 * Record that a server sent so much output of a request that no part of its prompt
+	 * crashes servers.
+	 * @param traits properties of the request
 	 */
-	boolean isQuarantined(long fingerprint) {
-		return this.quarantine.isQuarantined(fingerprint, System.nanoTime());
+	void recordOutput(RequestTraits traits) {
+		this.parts.produced(traits.promptParts(), System.nanoTime());
 	}
 
 	/**
 	 * Record that a request received a complete response.
-	 * @param fingerprint fingerprint of the request
+	 * @param traits properties of the request
 	 */
-	void recordCompletion(long fingerprint) {
-		this.quarantine.completed(fingerprint);
+	void recordCompletion(RequestTraits traits) {
+		this.requests.completed(traits.fingerprint());
+		recordOutput(traits);
 	}
 
 	/**
-	 * Record that a connection was lost while a server ran a request. A lost response
-	 * alone is common and harmless; the request becomes a suspect only if the server also
-	 * terminates.
-	 * @param server the server
-	 * @param fingerprint fingerprint of the request
-	 * @param lastEventId id of the last event that the server sent, 0 if none
+	 * Record that a connection was lost while a server ran a request. The request becomes
+	 * a suspect only if the server has also terminated.
+	 * @param lost the request
 	 */
-	void recordLostConnection(ListedServer server, long fingerprint, long lastEventId) {
-		this.lostConnections.computeIfAbsent(server.name(), (key) -> new HashMap<>())
-			.put(fingerprint, new LostConnection(server.name() + "/" + server.startedMillis(),
-					(int) Math.min(Integer.MAX_VALUE, lastEventId), System.nanoTime()));
+	void recordLostConnection(LostRequest lost) {
+		this.lostConnections.add(lost);
+		ListedServer server = lost.server();
+		// The list shows a termination only after seconds, in which further servers would
+		// crash.
+		if (lost.withoutOutput() && !lost.traits().promptParts().isEmpty() && this.probing.add(server.name())) {
+			this.vertx.setTimer(PROBE_DELAY_MILLIS,
+					(id) -> this.probe.hasTerminated(server.server().endpoint()).onSuccess((terminated) -> {
+						this.probing.remove(server.name());
+						if (terminated) {
+							serverTerminated(server.name());
+						}
+					}));
+		}
 	}
 
 	/**
@@ -162,57 +248,213 @@
 	 * @param name the server
 	 */
 	void serverTerminated(ServerName name) {
-		Map<Long, LostConnection> losses = this.lostConnections.remove(name);
-		if (losses == null) {
-			return;
-		}
 		long nowNanos = System.nanoTime();
-		losses.forEach((fingerprint, loss) -> {
-			if (nowNanos - loss.atNanos() < MAX_LOSS_AGE_NANOS) {
-				this.log.log("server-crashed", "", "server", loss.incarnation(), "fingerprint",
-						Long.toHexString(fingerprint), "detected_after_millis",
-						(nowNanos - loss.atNanos()) / NANOS_PER_MILLI);
-				this.quarantine.died(loss.incarnation(), Map.of(fingerprint, loss.lastEventId()), nowNanos);
-				if (this.unreportedCrashes.isEmpty()) {
-					this.vertx.setTimer(REPORT_BATCH_MILLIS, (id) -> reportCrashes());
-				}
-				this.unreportedCrashes.computeIfAbsent(loss.incarnation(), (key) -> new HashSet<>()).add(fingerprint);
-				scheduleDecision();
-			}
-		});
+		this.lostConnections.remove(name, nowNanos)
+			.stream()
+			.collect(Collectors.groupingBy(LostRequest::incarnation))
+			.forEach((incarnation, lost) -> serverCrashed(incarnation, lost, nowNanos));
+	}
+
+	private void serverCrashed(String incarnation, List<LostRequest> lost, long nowNanos) {
+		long atNanos = lost.stream().mapToLong(LostRequest::lostNanos).min().orElse(nowNanos);
+		List<PromptPartQuarantine.Suspect> suspects = suspects(lost);
+		this.log.log("server-crashed", "", "server", incarnation, "requests", lost.size(), "suspects", suspects.size(),
+				"parts", suspects.stream().map(PromptPartQuarantine.Suspect::parts).toList(), "detected_after_millis",
+				(nowNanos - atNanos) / NANOS_PER_MILLI);
+		lost.forEach((request) -> this.requests.died(incarnation,
+				Map.of(request.traits().fingerprint(), (int) Math.min(Integer.MAX_VALUE, request.lastEventId())),
+				nowNanos));
+		this.parts.crashed(incarnation, suspects, true, atNanos);
+		if (this.unreportedCrashes.isEmpty()) {
+			this.vertx.setTimer(REPORT_BATCH_MILLIS, (id) -> reportCrashes());
+		}
+		this.unreportedCrashes.computeIfAbsent(incarnation, (key) -> new ArrayList<>()).addAll(lost);
+		scheduleDecision();
+	}
+
+	private static List<PromptPartQuarantine.Suspect> suspects(Collection<LostRequest> lost) {
+		return lost.stream()
+			.filter((request) -> request.withoutOutput() && !request.traits().promptParts().isEmpty())
+			.map((request) -> new PromptPartQuarantine.Suspect(request.traits().promptParts(), request.sentNanos()))
+			.toList();
 	}
 
 	private void reportCrashes() {
-		this.unreportedCrashes.forEach((server, fingerprints) -> broadcast(PeerMessage.newBuilder()
-			.setServerDeath(ServerDeath.newBuilder().setServer(server).addAllFingerprints(fingerprints))));
+		long nowNanos = System.nanoTime();
+		this.unreportedCrashes.forEach((incarnation, lost) -> {
+			long atNanos = lost.stream().mapToLong(LostRequest::lostNanos).min().orElse(nowNanos);
+			ServerDeath.Builder death = ServerDeath.newBuilder()
+				.setServer(incarnation)
+				.setAgeMillis(millis(nowNanos - atNanos))
+				.addAllFingerprints(
+						lost.stream().map((request) -> request.traits().fingerprint()).collect(Collectors.toSet()));
+			suspects(lost).forEach((suspect) -> death.addSuspects(CrashSuspect.newBuilder()
+				.addAllPromptParts(suspect.parts().stream().map(PromptPart::value).toList())
+				.setSentBeforeMillis(millis(atNanos - suspect.sentNanos()))));
+			broadcast(PeerMessage.newBuilder().setServerDeath(death));
+		});
 		this.unreportedCrashes.clear();
 	}
 
+	private static int millis(long nanos) {
+		return (int) Math.max(0, Math.min(Integer.MAX_VALUE, nanos / NANOS_PER_MILLI));
+	}
+
+	private Future<PeerMessage.Builder> crashReported(ServerDeath death) {
+		long nowNanos = System.nanoTime();
+		long atNanos = nowNanos - death.getAgeMillis() * NANOS_PER_MILLI;
+		this.requests.reported(death.getServer(), death.getFingerprintsList(), nowNanos);
+		this.parts.crashed(death.getServer(),
+				death.getSuspectsList()
+					.stream()
+					.map((suspect) -> new PromptPartQuarantine.Suspect(
+							suspect.getPromptPartsList().stream().map(PromptPart::of).toList(),
+							atNanos - suspect.getSentBeforeMillis() * NANOS_PER_MILLI))
+					.toList(),
+				false, atNanos);
+		scheduleDecision();
+		return acknowledged();
+	}
+
 	private void scheduleDecision() {
-		this.vertx.setTimer(DECISION_DELAY_MILLIS,
-				(id) -> this.quarantine.quarantineCulprits(System.nanoTime()).forEach(this::announceQuarantine));
+		this.vertx.setTimer(DECISION_DELAY_MILLIS, (id) -> decide());
+	}
+
+	private void decide() {
+		this.requests.quarantineCulprits(System.nanoTime()).forEach(this::announceRequest);
+		Set<PromptPart> candidates = this.parts.candidates(System.nanoTime());
+		if (!candidates.isEmpty()) {
+			queryOutputs(candidates)
+				.onComplete((answered) -> this.parts.quarantineCulprits(System.nanoTime()).forEach(this::announcePart));
+		}
 	}
 
-	private void announceQuarantine(Quarantine.Decision decision) {
+	// Other routers may have forwarded output of requests with these parts.
+	private Future<?> queryOutputs(Set<PromptPart> candidates) {
+		PeerMessage.Builder query = PeerMessage.newBuilder()
+			.setPromptPartQuery(
+					PromptPartQuery.newBuilder().addAllParts(candidates.stream().map(PromptPart::value).toList()));
+		return Future.join(otherRouters().stream()
+			.map((host) -> this.peers.call(host, query.clone(), QUERY_TIMEOUT_MILLIS).onSuccess(this::applyOutputs))
+			.toList());
+	}
+
+	private void applyOutputs(PeerReply reply) {
+		if (reply instanceof PeerReply.Answered answered) {
+			long nowNanos = System.nanoTime();
+			answered.message()
+				.getPromptPartReply()
+				.getOutputsList()
+				.forEach((output) -> this.parts.produced(List.of(PromptPart.of(output.getPart())),
+						nowNanos - output.getAgeMillis() * NANOS_PER_MILLI));
+		}
+	}
+
+	private PromptPartReply outputs(PromptPartQuery query) {
+		long nowNanos = System.nanoTime();
+		PromptPartReply.Builder reply = PromptPartReply.newBuilder();
+		query.getPartsList()
+			.forEach((part) -> this.parts.outputAgeNanos(PromptPart.of(part), nowNanos)
+				.ifPresent((ageNanos) -> reply
+					.addOutputs(PromptPartOutput.newBuilder().setPart(part).setAgeMillis(millis(ageNanos)))));
+		return reply.build();
+	}
+
+	private void announceRequest(Quarantine.Decision decision) {
 		this.log.log("request-quarantined", "", "fingerprint", Long.toHexString(decision.fingerprint()), "servers",
 				decision.servers(), "source", "own");
 		broadcast(PeerMessage.newBuilder()
 			.setQuarantineNotice(QuarantineNotice.newBuilder()
 				.setFingerprint(decision.fingerprint())
-				.setRemainingMillis((int) (RETENTION_NANOS / NANOS_PER_MILLI))
+				.setRemainingMillis(millis(RETENTION_NANOS))
 				.addAllServers(decision.servers())));
+		announced(QuarantineEntry.newBuilder()
+			.setKind(QuarantineEntry.Kind.REQUEST)
+			.setValue(decision.fingerprint())
+			.setRemainingMillis(millis(RETENTION_NANOS))
+			.build());
+	}
+
+	private void announcePart(PromptPartQuarantine.Decision decision) {
+		this.log.log("prompt-part-quarantined", "", "part", decision.part(), "servers", decision.servers(), "source",
+				"own");
+		QuarantineEntry entry = QuarantineEntry.newBuilder()
+			.setKind(QuarantineEntry.Kind.PROMPT_PART)
+			.setValue(decision.part().value())
+			.setRemainingMillis(millis(PART_RETENTION_NANOS))
+			.build();
+		broadcast(PeerMessage.newBuilder().setQuarantineSync(QuarantineSync.newBuilder().addEntries(entry)));
+		announced(entry);
+	}
+
+	private void announced(QuarantineEntry entry) {
+		this.decisionListener.accept(entry);
+		endQuarantinedRequests();
+	}
+
+	private void endQuarantinedRequests() {
+		List.copyOf(this.inProgress)
+			.stream()
+			.filter((request) -> isQuarantined(request.traits()))
+			.forEach(TrackedRequest::quarantined);
+	}
+
+	/**
+	 * Apply quarantines that another router decided on or that were stored.
+	 * @param entries the quarantines
+	 * @param source their origin, for the log
+	 */
+	void apply(List<QuarantineEntry> entries, String source) {
+		long nowNanos = System.nanoTime();
+		entries.forEach((entry) -> {
+			long remainingNanos = entry.getRemainingMillis() * NANOS_PER_MILLI;
+			PromptPart part = PromptPart.of(entry.getValue());
+			if (entry.getKind() == QuarantineEntry.Kind.REQUEST) {
+				if (!this.requests.isQuarantined(entry.getValue(), nowNanos)) {
+					this.requests.apply(entry.getValue(), remainingNanos, nowNanos);
+					this.log.log("request-quarantined", "", "fingerprint", part, "source", source);
+				}
+			}
+			else if (this.parts.apply(part, remainingNanos, nowNanos)) {
+				this.log.log("prompt-part-quarantined", "", "part", part, "source", source);
+			}
+		});
+		endQuarantinedRequests();
+	}
+
+	/**
+	 * Return all quarantines in force.
+	 * @return the quarantines with their remaining times
+	 */
+	QuarantineSync entries() {
+		long nowNanos = System.nanoTime();
+		QuarantineSync.Builder sync = QuarantineSync.newBuilder();
+		add(sync, QuarantineEntry.Kind.REQUEST, this.requests.remainingNanos(nowNanos));
+		add(sync, QuarantineEntry.Kind.PROMPT_PART,
+				this.parts.remainingNanos(nowNanos)
+					.entrySet()
+					.stream()
+					.collect(Collectors.toMap((entry) -> entry.getKey().value(), Map.Entry::getValue)));
+		return sync.build();
+	}
+
+	private static void add(QuarantineSync.Builder sync, QuarantineEntry.Kind kind, Map<Long, Long> remainingNanos) {
+		remainingNanos.forEach((value, nanos) -> sync
+			.addEntries(QuarantineEntry.newBuilder().setKind(kind).setValue(value).setRemainingMillis(millis(nanos))));
 	}
 
 	private void broadcast(PeerMessage.Builder message) {
+		otherRouters().forEach((host) -> this.peers.call(host, message.clone(), CALL_TIMEOUT_MILLIS));
+	}
+
+	private List<HostName> otherRouters() {
 		HostName self = this.peers.members().self().host();
-		this.peers.members()
+		return this.peers.members()
 			.members()
 			.stream()
-			.filter((member) -> !member.host().equals(self))
-			.forEach((member) -> this.peers.call(member.host(), message.clone(), CALL_TIMEOUT_MILLIS));
-	}
-
-	private record LostConnection(String incarnation, int lastEventId, long atNanos) {
+			.map((member) -> member.host())
+			.filter((host) -> !host.equals(self))
+			.toList();
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
@@ -23,7 +23,7 @@
  * Base class for the exchange with one caller: tracks the deadline and the attempts of
  * its request, and sends exactly one final response.
  */
-abstract class ForwardedExchange {
+abstract class ForwardedExchange implements TrackedRequest {
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -55,7 +55,7 @@
 
 	private final RequestAttempts attempts;
 
-	private final long fingerprint;
+	private final RequestTraits traits;
 
 	private final long startNanos;
 
@@ -73,7 +73,7 @@
 		this.route = route;
 		this.service = service;
 		this.body = body;
-		this.fingerprint = CrashGuard.fingerprint(request, body);
+		this.traits = RequestTraits.of(CrashGuard.fingerprint(request, body), metadata);
 		this.startNanos = startNanos;
 		long limitMillis = (metadata.deadlineMillis() > 0) ? Math.min(metadata.deadlineMillis(), route.timeoutMillis())
 				: route.timeoutMillis();
@@ -88,6 +88,7 @@
 	final void start() {
 		this.context.state().budget(this.service.name()).recordRequest(System.nanoTime());
 		this.timer = this.context.vertx().setTimer(Math.max(1, remainingMillis()), (id) -> timedOut());
+		this.context.crashGuard().track(this);
 		attempt();
 	}
 
@@ -152,6 +153,31 @@
 		send(Refusal.of(kind, Ran.UNKNOWN, detail));
 	}
 
+	@Override
+	public final RequestTraits traits() {
+		return this.traits;
+	}
+
+	@Override
+	public final void quarantined() {
+		// A stream that produces output does not crash its server.
+		if (!this.done && !this.request.response().headWritten()) {
+			cancel("quarantined");
+			refuseIfQuarantined();
+		}
+	}
+
+	/**
+	 * End the request if it is quarantined, which may have happened since its start.
+	 * @return true if the request has ended
+	 */
+	final boolean refuseIfQuarantined() {
+		if (!this.done && this.context.crashGuard().isQuarantined(this.traits)) {
+			send(Refusal.quarantined((this.attempts.giveUp() == NextStep.REFUSE) ? Ran.NO : Ran.UNKNOWN));
+		}
+		return this.done;
+	}
+
 	private void send(Refusal refusal) {
 		if (finish(refusal.kind(), refusal.status())) {
 			HttpServerResponse response = this.request.response();
@@ -195,6 +221,7 @@
 		}
 		this.done = true;
 		this.context.vertx().cancelTimer(this.timer);
+		this.context.crashGuard().untrack(this);
 		long tookNanos = System.nanoTime() - this.startNanos;
 		this.context.metrics().count("requests_total", outcome);
 		this.context.metrics().time("request_" + this.route.kind().name().toLowerCase(Locale.ROOT), tookNanos);
@@ -229,11 +256,16 @@
 	 * server ran the request.
 	 * @param server the server
 	 * @param outcome outcome of the attempt
-	 * @param lastEventId id of the last event that the server sent, 0 if none
+	 * @param lastEventId id of the last event that the caller received, 0 if none
+	 * @param serverEvents number of events that the server sent
+	 * @param sentNanos start of the attempt on the monotonic clock
 	 */
-	final void recordBrokenAttempt(ListedServer server, AttemptOutcome outcome, long lastEventId) {
+	final void recordBrokenAttempt(ListedServer server, AttemptOutcome outcome, long lastEventId, int serverEvents,
+			long sentNanos) {
 		if (outcome instanceof AttemptOutcome.Broken) {
-			this.context.crashGuard().recordLostConnection(server, this.fingerprint, lastEventId);
+			this.context.crashGuard()
+				.recordLostConnection(new LostConnections.LostRequest(server, this.traits, lastEventId,
+						serverEvents < CrashGuard.OUTPUT_EVENTS, sentNanos, System.nanoTime()));
 		}
 	}
 
@@ -241,7 +273,7 @@
 	 * Record that a server completed the request, so it does not crash servers.
 	 */
 	final void recordCompletion() {
-		this.context.crashGuard().recordCompletion(this.fingerprint);
+		this.context.crashGuard().recordCompletion(this.traits);
 	}
 
 	final long remainingMillis() {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -39,8 +39,6 @@
 
 	private static final int RETRY_AFTER_MILLIS = 500;
 
-	private static final int UNAVAILABLE = 503;
-
 	/**
 	 * Time within which the load balancer notices that this router is not ready: two
 	 * checks.
@@ -108,6 +106,7 @@
 		this.context.metrics().gauge("servers_usable", () -> this.context.state().usableCount());
 		this.context.metrics().gauge("waiting_streams", () -> this.context.waiting().size());
 		this.context.metrics().gauge("buffered_bytes", () -> this.bufferedBytes);
+		this.context.metrics().gauge("quarantine_entries", () -> this.context.crashGuard().quarantinedCount());
 		this.context.metrics().gauge("list_age_seconds", () -> this.context.state().serversAgeMillis() / 1e3);
 		return this.callers.listen(front.port(), front.address())
 			.compose((listening) -> this.readiness.listen(ready.port(), ready.address()))
@@ -246,9 +245,9 @@
 	private void start(Admission admission, RequestMetadata metadata, ForwardingRoute route, ForwardedService service,
 			Buffer body, long startNanos) {
 		HttpServerRequest request = admission.request;
-		if (this.context.crashGuard().isQuarantined(CrashGuard.fingerprint(request, body))) {
-			refuse(request, new Refusal(UNAVAILABLE, ErrorKind.QUARANTINED.text(), Ran.NO,
-					"backend servers crashed while they ran this request", ErrorKind.QUARANTINED.remedy(), 0));
+		if (this.context.crashGuard()
+			.isQuarantined(RequestTraits.of(CrashGuard.fingerprint(request, body), metadata))) {
+			refuse(request, Refusal.quarantined(Ran.NO));
 			return;
 		}
 		admission.exchange = route.kind().streams()
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
@@ -38,6 +38,8 @@
 
 	private long callNumber;
 
+	private long attemptNanos;
+
 	private boolean counted;
 
 	PlainExchange(ForwardingContext context, HttpServerRequest request, RequestMetadata metadata, ForwardingRoute route,
@@ -47,11 +49,15 @@
 
 	@Override
 	void attempt() {
+		if (refuseIfQuarantined()) {
+			return;
+		}
 		Map<BackendServer, ListedServer> usable = context().state()
 			.usable(service().name())
 			.stream()
 			.collect(Collectors.toMap(ListedServer::server, Function.identity()));
 		long nowNanos = System.nanoTime();
+		this.attemptNanos = nowNanos;
 		Optional<BackendServer> chosen = context().state()
 			.replicas()
 			.choose(List.copyOf(usable.keySet()), this.tried, route().kind().repeatable(), nowNanos);
@@ -115,7 +121,7 @@
 		if (isDone()) {
 			return;
 		}
-		recordBrokenAttempt(this.server, outcome, 0);
+		recordBrokenAttempt(this.server, outcome, 0, 0, this.attemptNanos);
 		release((outcome instanceof AttemptOutcome.NotRun) ? Result.ABANDONED : Result.FAILED);
 		NextStep step = attempts().ended(outcome, hasTimeForAttempt());
 		log("attempt-ended", "server", this.server.name(), "outcome", outcome, "next", step);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -87,6 +87,8 @@
 
 	private long attemptNanos;
 
+	private long decodeNanos;
+
 	private double expectedMillis;
 
 	private long timeoutTimer = -1;
@@ -115,6 +117,9 @@
 
 	@Override
 	void attempt() {
+		if (refuseIfQuarantined()) {
+			return;
+		}
 		// An interrupted stream does not queue behind those that have not started.
 		boolean behind = !this.headSent && context().waiting().anyAhead(service().name(), route().priority());
 		if (behind || !place(this, false)) {
@@ -260,6 +265,7 @@
 			return;
 		}
 		this.failures.prefillFailed(engine, outcome);
+		recordBrokenAttempt(engine, outcome, this.lastEventId, 0, this.attemptNanos);
 		this.excluded.add(engine.name());
 		this.failedPrefills++;
 		boolean again = hasTimeForAttempt() && (outcome instanceof AttemptOutcome.NotSent
@@ -281,6 +287,7 @@
 		this.splitter = EventSplitter.create(context().limits().maxEventBytes());
 		this.stream = null;
 		this.serverEvents = 0;
+		this.decodeNanos = System.nanoTime();
 		attempts().started(engine.name());
 		this.excluded.add(engine.name());
 		this.decodeCall = new ServerCall(context(), engine, this::streaming, this::decodeEnded);
@@ -356,7 +363,9 @@
 	}
 
 	private void forward(EventSplitter.Event event) {
-		this.serverEvents++;
+		if (++this.serverEvents == CrashGuard.OUTPUT_EVENTS) {
+			context().crashGuard().recordOutput(traits());
+		}
 		boolean numbered = event.id() != EventSplitter.Event.NO_ID;
 		if (numbered && event.id() <= this.lastEventId) {
 			return;
@@ -438,7 +447,7 @@
 			return;
 		}
 		this.failures.decodeFailed(engine, source, engineLimits(), outcome);
-		recordBrokenAttempt(engine, outcome, this.lastEventId);
+		recordBrokenAttempt(engine, outcome, this.lastEventId, this.serverEvents, this.decodeNanos);
 		NextStep step = attempts().ended(outcome, hasTimeForAttempt());
 		log("attempt-ended", "server", engine.name(), "outcome", outcome, "next", step, "last_event", this.lastEventId,
 				"server_events", this.serverEvents, "parts", metadata().promptParts());
