--- a/balsamlane-core/src/main/java/io/balsamlane/core/retry/PromptPartQuarantine.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/retry/PromptPartQuarantine.java
@@ -4,15 +4,14 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 import io.balsamlane.core.model.PromptPart;
@@ -40,6 +39,10 @@
 
 	private final int maxParts;
 
+	private final long mergeNanos;
+
+	private final long settleNanos;
+
 	private final long retentionNanos;
 
 	private final Deque<Crash> crashes = new ArrayDeque<>();
@@ -48,9 +51,11 @@
 
 	private final Map<PromptPart, Long> quarantinedUntilNanos = new LinkedHashMap<>();
 
-	private PromptPartQuarantine(int maxCrashes, int maxParts, long retentionNanos) {
+	private PromptPartQuarantine(int maxCrashes, int maxParts, long mergeNanos, long settleNanos, long retentionNanos) {
 		this.maxCrashes = maxCrashes;
 		this.maxParts = maxParts;
+		this.mergeNanos = mergeNanos;
+		this.settleNanos = settleNanos;
 		this.retentionNanos = retentionNanos;
 	}
 
@@ -59,28 +64,32 @@
 	 * @param maxCrashes maximum number of crashes kept; the oldest is evicted
 	 * @param maxParts maximum number of parts of which output is known and of parts in
 	 * quarantine; the oldest is evicted
+	 * @param mergeNanos time within which reports about a server count as one crash, in
+	 * nanoseconds
+	 * @param settleNanos time after a crash for which reports about it may be
+	 * outstanding, so that it is not decided upon, in nanoseconds
 	 * @param retentionNanos time for which a crash is kept and a part stays quarantined,
 	 * in nanoseconds
 	 * @return the quarantine
 	 */
-	public static PromptPartQuarantine create(int maxCrashes, int maxParts, long retentionNanos) {
-		return new PromptPartQuarantine(maxCrashes, maxParts, retentionNanos);
+	public static PromptPartQuarantine create(int maxCrashes, int maxParts, long mergeNanos, long settleNanos,
+			long retentionNanos) {
+		return new PromptPartQuarantine(maxCrashes, maxParts, mergeNanos, settleNanos, retentionNanos);
 	}
 
 	/**
 	 * Record that a server crashed while it ran requests that had not produced output.
-	 * Reports on the same incarnation of a server are merged.
-	 * @param incarnation identifies one life of one server
+	 * @param server the server
 	 * @param suspects the requests
 	 * @param own true if this router sent them
 	 * @param atNanos time of the crash
 	 */
-	public void crashed(String incarnation, Collection<Suspect> suspects, boolean own, long atNanos) {
+	public void crashed(String server, Collection<Suspect> suspects, boolean own, long atNanos) {
 		this.crashes.removeIf((crash) -> atNanos - crash.atNanos > this.retentionNanos);
 		Crash crash = this.crashes.stream()
-			.filter((known) -> known.incarnation.equals(incarnation))
+			.filter((known) -> known.server.equals(server) && Math.abs(atNanos - known.atNanos) < this.mergeNanos)
 			.findFirst()
-			.orElseGet(() -> add(new Crash(incarnation, atNanos)));
+			.orElseGet(() -> add(new Crash(server, atNanos)));
 		crash.suspects.addAll(suspects);
 		crash.own |= own;
 	}
@@ -131,7 +140,7 @@
 	 * own requests
 	 */
 	public Set<PromptPart> candidates(long nowNanos) {
-		return culpritGroups(nowNanos).stream().flatMap(Collection::stream).collect(Collectors.toSet());
+		return findCauses(nowNanos).stream().flatMap((cause) -> cause.parts().stream()).collect(Collectors.toSet());
 	}
 
 	/**
@@ -140,77 +149,57 @@
 	 * @return the newly quarantined parts
 	 */
 	public List<Decision> quarantineCulprits(long nowNanos) {
-		List<Decision> found = culpritGroups(nowNanos).stream()
-			.flatMap((group) -> mostSpecific(group).stream())
-			.map((part) -> new Decision(part, crashesOf(part).stream().map((crash) -> crash.incarnation).toList()))
+		List<Decision> found = findCauses(nowNanos).stream()
+			.flatMap((cause) -> mostSpecific(cause)
+				.map((part) -> new Decision(part, cause.crashes().stream().map((crash) -> crash.server).toList()))
+				.stream())
 			.toList();
 		found.forEach((decision) -> apply(decision.part(), this.retentionNanos, nowNanos));
 		return found;
 	}
 
-	// Returns groups of parts with the same crashes, each of which explains crashes that
-	// no other part explains.
-	private List<Set<PromptPart>> culpritGroups(long nowNanos) {
-		Map<PromptPart, Set<Crash>> crashesByPart = new HashMap<>();
-		this.crashes.stream()
+	private List<Cause> findCauses(long nowNanos) {
+		Map<PromptPart, List<Crash>> crashesByPart = this.crashes.stream()
 			.flatMap((crash) -> crash.suspects.stream())
 			.flatMap((suspect) -> suspect.parts().stream())
-			.forEach((part) -> crashesByPart.computeIfAbsent(part, (key) -> new LinkedHashSet<>(crashesOf(key))));
-		Map<Set<Crash>, Set<PromptPart>> groups = crashesByPart.entrySet()
+			.distinct()
+			.collect(Collectors.toMap(Function.identity(), (part) -> crashesOf(part, nowNanos)));
+		Map<List<Crash>, Set<PromptPart>> partsByCrashes = crashesByPart.entrySet()
 			.stream()
 			.collect(Collectors.groupingBy(Map.Entry::getValue,
 					Collectors.mapping(Map.Entry::getKey, Collectors.toSet())));
-		return groups.entrySet()
+		return partsByCrashes.entrySet()
 			.stream()
-			.filter((group) -> group.getKey().stream().anyMatch((crash) -> crash.own))
-			.filter((group) -> groups.keySet()
-				.stream()
-				.noneMatch((other) -> other.size() > group.getKey().size() && other.containsAll(group.getKey())))
-			.map(Map.Entry::getValue)
-			.filter((parts) -> parts.stream().noneMatch((part) -> isQuarantined(part, nowNanos)))
-			.filter((parts) -> crashesInSequence(parts.iterator().next(), parts) >= MIN_CRASHES)
+			.map((group) -> new Cause(group.getKey(), group.getValue()))
+			.filter((cause) -> cause.crashes().stream().anyMatch((crash) -> crash.own))
+			.filter((cause) -> partsByCrashes.keySet().stream().noneMatch(cause::explainsLessThan))
+			.filter((cause) -> cause.parts().stream().noneMatch((part) -> isQuarantined(part, nowNanos)))
+			.filter((cause) -> cause.crashesInSequence() >= MIN_CRASHES)
 			.toList();
 	}
 
-	private List<Crash> crashesOf(PromptPart part) {
+	private List<Crash> crashesOf(PromptPart part, long nowNanos) {
 		Long output = this.outputNanos.get(part);
 		return this.crashes.stream()
+			.filter((crash) -> nowNanos - crash.atNanos >= this.settleNanos)
 			.filter((crash) -> output == null || crash.atNanos - output > 0)
 			.filter((crash) -> crash.suspects.stream().anyMatch((suspect) -> suspect.parts().contains(part)))
-			.toList();
-	}
-
-	private int crashesInSequence(PromptPart part, Set<PromptPart> group) {
-		int count = 0;
-		long previousNanos = 0;
-		List<Crash> ordered = crashesOf(part).stream()
 			.sorted(Comparator.comparingLong((crash) -> crash.atNanos))
 			.toList();
-		for (Crash crash : ordered) {
-			long afterNanos = previousNanos;
-			if (count == 0 || crash.suspects.stream()
-				.anyMatch((suspect) -> suspect.containsAny(group) && suspect.sentNanos() - afterNanos >= 0)) {
-				count++;
-				previousNanos = crash.atNanos;
-			}
-		}
-		return count;
 	}
 
 	// Returns no part if some of them belong to different requests, which only another
 	// crash can tell apart.
-	private Optional<PromptPart> mostSpecific(Set<PromptPart> group) {
-		List<Crash> common = crashesOf(group.iterator().next());
-		boolean inSameRequests = common.stream()
-			.allMatch((crash) -> crash.suspects.stream().anyMatch((suspect) -> suspect.parts().containsAll(group)));
-		return inSameRequests ? group.stream()
+	private Optional<PromptPart> mostSpecific(Cause cause) {
+		return cause.isOfSameRequests() ? cause.parts()
+			.stream()
 			.max(Comparator.comparing((PromptPart part) -> !this.outputNanos.containsKey(part))
-				.thenComparingInt((part) -> position(part, common))
+				.thenComparingInt((part) -> position(part, cause.crashes()))
 				.thenComparingLong(PromptPart::value)) : Optional.empty();
 	}
 
-	private static int position(PromptPart part, List<Crash> common) {
-		return common.stream()
+	private static int position(PromptPart part, List<Crash> crashes) {
+		return crashes.stream()
 			.flatMap((crash) -> crash.suspects.stream())
 			.mapToInt((suspect) -> suspect.parts().indexOf(part))
 			.max()
@@ -270,10 +259,6 @@
 			parts = List.copyOf(parts);
 		}
 
-		private boolean containsAny(Set<PromptPart> others) {
-			return this.parts.stream().anyMatch(others::contains);
-		}
-
 	}
 
 	/**
@@ -285,9 +270,38 @@
 	public record Decision(PromptPart part, List<String> servers) {
 	}
 
+	/**
+	 * Parts that are suspected of the same crashes, in the order of time.
+	 */
+	private record Cause(List<Crash> crashes, Set<PromptPart> parts) {
+
+		boolean explainsLessThan(List<Crash> others) {
+			return others.size() > this.crashes.size() && others.containsAll(this.crashes);
+		}
+
+		boolean isOfSameRequests() {
+			return this.crashes.stream()
+				.allMatch((crash) -> crash.suspects.stream()
+					.anyMatch((suspect) -> suspect.parts().containsAll(this.parts)));
+		}
+
+		int crashesInSequence() {
+			int count = 0;
+			long previousNanos = 0;
+			for (Crash crash : this.crashes) {
+				if (count == 0 || crash.hasSuspectSentAfter(previousNanos, this.parts)) {
+					count++;
+					previousNanos = crash.atNanos;
+				}
+			}
+			return count;
+		}
+
+	}
+
 	private static final class Crash {
 
-		private final String incarnation;
+		private final String server;
 
 		private final long atNanos;
 
@@ -295,11 +309,17 @@
 
 		private boolean own;
 
-		Crash(String incarnation, long atNanos) {
-			this.incarnation = incarnation;
+		Crash(String server, long atNanos) {
+			this.server = server;
 			this.atNanos = atNanos;
 		}
 
+		boolean hasSuspectSentAfter(long nanos, Set<PromptPart> parts) {
+			return this.suspects.stream()
+				.filter((suspect) -> suspect.sentNanos() - nanos >= 0)
+				.anyMatch((suspect) -> suspect.parts().stream().anyMatch(parts::contains));
+		}
+
 	}
 
 }
--- a/balsamlane-core/src/main/java/io/balsamlane/core/retry/Quarantine.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/retry/Quarantine.java
@@ -36,16 +36,19 @@
 
 	private final long mergeNanos;
 
+	private final long settleNanos;
+
 	private final long retentionNanos;
 
 	private final Deque<Death> deaths = new ArrayDeque<>();
 
 	private final Map<Long, Long> quarantinedUntilNanos = new LinkedHashMap<>();
 
-	private Quarantine(int maxDeaths, int maxQuarantined, long mergeNanos, long retentionNanos) {
+	private Quarantine(int maxDeaths, int maxQuarantined, long mergeNanos, long settleNanos, long retentionNanos) {
 		this.maxDeaths = maxDeaths;
 		this.maxQuarantined = maxQuarantined;
 		this.mergeNanos = mergeNanos;
+		this.settleNanos = settleNanos;
 		this.retentionNanos = retentionNanos;
 	}
 
@@ -56,12 +59,15 @@
 	 * evicted
 	 * @param mergeNanos time within which reports about a server count as one death, in
 	 * nanoseconds
+	 * @param settleNanos time after a death for which reports about it may be
+	 * outstanding, so that it is not decided upon, in nanoseconds
 	 * @param retentionNanos time for which a death is kept and a fingerprint stays
 	 * quarantined, in nanoseconds
 	 * @return the quarantine
 	 */
-	public static Quarantine create(int maxDeaths, int maxQuarantined, long mergeNanos, long retentionNanos) {
-		return new Quarantine(maxDeaths, maxQuarantined, mergeNanos, retentionNanos);
+	public static Quarantine create(int maxDeaths, int maxQuarantined, long mergeNanos, long settleNanos,
+			long retentionNanos) {
+		return new Quarantine(maxDeaths, maxQuarantined, mergeNanos, settleNanos, retentionNanos);
 	}
 
 	/**
@@ -170,8 +176,7 @@
 
 	/**
 	 * Quarantine the requests of this router that are now identified as the cause of
-	 * deaths. To be called some time after a death, when the reports of other routers
-	 * have arrived.
+	 * deaths. To be called when the time for reports about a death has passed.
 	 * @param nowNanos the current monotonic time, in nanoseconds
 	 * @return the newly quarantined requests
 	 */
@@ -181,6 +186,9 @@
 			.distinct()
 			.filter((fingerprint) -> deathCount(fingerprint) > 1 && indistinguishableFrom(fingerprint).size() == 1)
 			.filter((fingerprint) -> !isQuarantined(fingerprint, nowNanos))
+			.filter((fingerprint) -> this.deaths.stream()
+				.noneMatch((death) -> death.suspects.containsKey(fingerprint)
+						&& nowNanos - death.atNanos < this.settleNanos))
 			.map((fingerprint) -> new Decision(fingerprint, deadServers(fingerprint)))
 			.toList();
 		found.forEach((decision) -> apply(decision.fingerprint(), this.retentionNanos, nowNanos));
--- a/balsamlane-core/src/test/java/io/balsamlane/core/retry/PromptPartQuarantineTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/retry/PromptPartQuarantineTests.java
@@ -30,7 +30,8 @@
 
 	private static final PromptPart OTHER = PromptPart.of(3);
 
-	private final PromptPartQuarantine quarantine = PromptPartQuarantine.create(64, 100, RETENTION_NANOS);
+	private final PromptPartQuarantine quarantine = PromptPartQuarantine.create(64, 100, 3000 * MILLI, 200 * MILLI,
+			RETENTION_NANOS);
 
 	// A crash at the given time under a request that was sent 100 ms earlier.
 	private void crash(int atMillis, PromptPart... parts) {
@@ -129,6 +130,23 @@
 		assertThat(quarantined(1300)).isEmpty();
 	}
 
+	@Test
+	void restartedServerThatCrashesAgainCountsAgain() {
+		crash("server", 1000, 900, CRASHING);
+		crash("server", 5000, 4900, CRASHING);
+		crash("server", 9000, 8900, CRASHING);
+		assertThat(quarantined(9300)).containsExactly(CRASHING);
+	}
+
+	@Test
+	void crashAboutWhichReportsMayBeOutstandingIsNotDecidedUpon() {
+		crash(1000, CRASHING);
+		crash(2000, CRASHING);
+		crash(3000, CRASHING);
+		assertThat(quarantined(3199)).isEmpty();
+		assertThat(quarantined(3200)).containsExactly(CRASHING);
+	}
+
 	@Test
 	void leavesDecisionToRouterWhoseRequestsWereInvolved() {
 		for (int number = 1; number <= 3; number++) {
@@ -165,7 +183,7 @@
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10 })
 	void onlyCrashingPartIsQuarantinedAmongRandomCrashes(long seed) {
 		Random random = new Random(seed);
-		PromptPartQuarantine routers = PromptPartQuarantine.create(64, 4096, RETENTION_NANOS);
+		PromptPartQuarantine routers = PromptPartQuarantine.create(64, 4096, 3000 * MILLI, 0, RETENTION_NANOS);
 		List<PromptPart> decided = new ArrayList<>();
 		int crashesUnderPart = 0;
 		for (int millis = 0; millis < 600_000; millis += 100) {
--- a/balsamlane-core/src/test/java/io/balsamlane/core/retry/QuarantineTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/retry/QuarantineTests.java
@@ -20,7 +20,8 @@
 
 	private static final long BYSTANDER = 2;
 
-	private final Quarantine quarantine = Quarantine.create(8, 4, 3 * NANOS_PER_SECOND, 600 * NANOS_PER_SECOND);
+	private final Quarantine quarantine = Quarantine.create(8, 4, 3 * NANOS_PER_SECOND, NANOS_PER_SECOND / 4,
+			600 * NANOS_PER_SECOND);
 
 	@Test
 	void onlyRequestCommonToTwoDeathsIsQuarantined() {
@@ -70,7 +71,7 @@
 
 	@Test
 	void suspectsOfOneDeathHaveSameDistinctIndexesOnAllRouters() {
-		Quarantine other = Quarantine.create(8, 4, 3 * NANOS_PER_SECOND, 600 * NANOS_PER_SECOND);
+		Quarantine other = Quarantine.create(8, 4, 3 * NANOS_PER_SECOND, NANOS_PER_SECOND / 4, 600 * NANOS_PER_SECOND);
 		this.quarantine.died("e1", Map.of(9L, 0, CULPRIT, 0), 0);
 		this.quarantine.reported("e1", List.of(5L), NANOS_PER_SECOND);
 		other.died("e1", Map.of(5L, 0), 0);
@@ -99,6 +100,16 @@
 		assertThat(this.quarantine.deathCount(BYSTANDER)).isEqualTo(1);
 	}
 
+	@Test
+	void deathAboutWhichReportsMayBeOutstandingIsNotDecidedUpon() {
+		this.quarantine.died("e1", Map.of(BYSTANDER, 0), 0);
+		this.quarantine.reported("e1", List.of(CULPRIT), 0);
+		this.quarantine.died("e2", Map.of(BYSTANDER, 0), 10 * NANOS_PER_SECOND);
+		assertThat(this.quarantine.quarantineCulprits(10 * NANOS_PER_SECOND + 1)).isEmpty();
+		this.quarantine.reported("e2", List.of(CULPRIT), 10 * NANOS_PER_SECOND + 2);
+		assertThat(this.quarantine.quarantineCulprits(11 * NANOS_PER_SECOND)).isEmpty();
+	}
+
 	@Test
 	void repeatedDeathsOfOneServerAndCompletedRequestsDoNotQuarantine() {
 		this.quarantine.died("e1", Map.of(CULPRIT, 0), 0);
--- a/balsamlane-proofs/src/test/java/io/balsamlane/proofs/ModelPathProofTests.java
+++ b/balsamlane-proofs/src/test/java/io/balsamlane/proofs/ModelPathProofTests.java
@@ -174,4 +174,29 @@
 		}
 	}
 
+	@Test
+	@Tag("proof")
+	void promptPrefixThatCrashesEnginesIsRefusedInDifferentRequests() {
+		try (ModelFleet fleet = new ModelFleet(2, 6, 2, Map.of())) {
+			fleet.engines()
+				.stream()
+				.filter((engine) -> engine.startsWith("prefill"))
+				.forEach((engine) -> fleet.fleet().faults(engine, new JsonObject().put("crashMarker", "smash")));
+			String prefix = "smash " + "wax ".repeat(300);
+			for (int number = 0; number < 4; number++) {
+				fleet.send(fleet.fleet().router("router-" + (1 + number % 2)), prefix + "letter " + number).join();
+			}
+			Fleet.await("both routers refuse another request with the prefix", Duration.ofSeconds(3),
+					() -> IntStream.rangeClosed(1, 2)
+						.allMatch((router) -> fleet
+							.send(fleet.fleet().router("router-" + router), prefix + "further letter " + router)
+							.join()
+							.startsWith("422 ")));
+			long dead = fleet.engines().stream().filter((engine) -> !fleet.fleet().standIn(engine).alive()).count();
+			// The platform requires a reaction once five servers have crashed.
+			assertThat(dead).isLessThanOrEqualTo(5);
+			assertThat(fleet.send(fleet.fleet().router("router-1"), prompt(1)).join()).startsWith("200 ");
+		}
+	}
+
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/RouterDaemon.java
@@ -34,6 +34,7 @@
 import io.balsamlane.router.orders.HttpEngineOrderClient;
 import io.balsamlane.router.orders.OrderDriver;
 import io.balsamlane.router.peer.NettyPeerNetwork;
+import io.balsamlane.router.quarantine.QuarantineExchange;
 import io.balsamlane.router.records.FleetIntentService;
 import io.balsamlane.router.records.RecordWriterService;
 import io.balsamlane.router.store.HttpPlatformStore;
@@ -152,8 +153,13 @@
 	private ModelRequestServices modelPath(GrantService grants) {
 		Context context = this.vertx.getOrCreateContext();
 		EngineClient engines = HttpEngineClient.create(this.vertx, this.settings.getEngines());
-		return new ModelRequestServices(context, this.settings, grants, engines,
-				EngineHealth.create(context, engines, this.peers, this.timeline, this.settings.getEngines()),
+		EngineHealth health = EngineHealth.create(context, engines, this.peers, this.timeline,
+				this.settings.getEngines());
+		QuarantineExchange
+			.create(this.vertx, (action) -> context.runOnContext((ignored) -> action.run()), this.peers, health,
+					RandomSource.XO_RO_SHI_RO_128_PP.create())
+			.start();
+		return new ModelRequestServices(context, this.settings, grants, engines, health,
 				EngineCanceller.create(this.vertx, engines, this.settings.getEngines()),
 				ActiveAttempts.create(this.peers), this.timeline);
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/ModelExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/ModelExchange.java
@@ -7,6 +7,7 @@
 
 import io.balsamlane.core.model.BackendServer;
 import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.retry.Quarantine;
 import io.balsamlane.core.routing.Route;
 import io.balsamlane.router.engine.DecodeCall;
 import io.balsamlane.router.engine.DecodeEvent;
@@ -91,10 +92,6 @@
 
 	void start() {
 		record(EventKind.REQUEST_ACCEPTED, "", "model " + this.request.model());
-		if (this.services.health().isQuarantined(this.request.fingerprint())) {
-			fail(ErrorKind.QUARANTINED.text(), "the request is quarantined", 0);
-			return;
-		}
 		this.suspected = this.services.health().isSuspected(this.request.fingerprint());
 		nextAttempt();
 	}
@@ -103,6 +100,10 @@
 		if (this.done) {
 			return;
 		}
+		if (this.services.health().isQuarantined(this.request.fingerprint(), this.request.prefixes())) {
+			fail(ErrorKind.QUARANTINED.text(), "the request or a prefix of its prompt is quarantined", 0);
+			return;
+		}
 		int expected = ++this.attemptNumber;
 		SchedulingSettings targets = this.services.settings().getScheduling();
 		int firstToken = orDefault(this.route.selector().getFirstTokenMillis(), targets.getFirstTokenMillis());
@@ -245,7 +246,8 @@
 
 	private void registerRunning(Attempt current, String server) {
 		this.services.health()
-			.recordAttemptStart(server, current.id(), this.request.fingerprint(), () -> this.deliveredTokens);
+			.recordAttemptStart(server, current.id(), this.request.fingerprint(), this.request.prefixes(),
+					() -> this.deliveredTokens);
 	}
 
 	private void handlePrefillResult(Attempt current, PrefillResult result) {
@@ -295,6 +297,7 @@
 			this.responseWriter.finish(finished.reason(), promptTokens, this.deliveredTokens);
 			record(EventKind.REQUEST_FINISHED, server, this.deliveredTokens + " tokens");
 			this.services.health().recordSuccess(server);
+			this.services.health().recordOutput(this.request.prefixes());
 			if (this.suspected) {
 				this.services.health().recordCompletion(this.request.fingerprint());
 			}
@@ -322,6 +325,9 @@
 			return;
 		}
 		boolean firstOfAttempt = current.recordToken();
+		if (current.tokens() == Quarantine.CLEARING_TOKENS) {
+			this.services.health().recordOutput(this.request.prefixes());
+		}
 		if (firstOfAttempt) {
 			update(current, GrantUpdate.Kind.FIRST_TOKEN, current.decodeServer());
 			this.progress.start(this.limits.getTokenProgressMillis());
@@ -419,23 +425,25 @@
 	}
 
 	private void retryInIsolation(long limitNanos) {
-		this.services.health().awaitRetryPermission(this.request.fingerprint()).onSuccess((allowed) -> {
-			if (this.done) {
-				return;
-			}
-			List<String> decode = names(this.route.decode());
-			int candidateCount = decode.size() - this.services.health().unavailableServers(decode).size();
-			if (!allowed) {
-				fail(ErrorKind.QUARANTINED.text(), "engines crashed while they ran the request", 0);
-			}
-			else if (this.services.health().mayRunNow(this.request.fingerprint(), candidateCount)
-					|| System.nanoTime() - limitNanos > 0) {
-				retryAfterFailure();
-			}
-			else {
-				retryInIsolation(limitNanos);
-			}
-		});
+		this.services.health()
+			.awaitRetryPermission(this.request.fingerprint(), this.request.prefixes())
+			.onSuccess((allowed) -> {
+				if (this.done) {
+					return;
+				}
+				List<String> decode = names(this.route.decode());
+				int candidateCount = decode.size() - this.services.health().unavailableServers(decode).size();
+				if (!allowed) {
+					fail(ErrorKind.QUARANTINED.text(), "engines crashed while they ran the request", 0);
+				}
+				else if (this.services.health().mayRunNow(this.request.fingerprint(), candidateCount)
+						|| System.nanoTime() - limitNanos > 0) {
+					retryAfterFailure();
+				}
+				else {
+					retryInIsolation(limitNanos);
+				}
+			});
 	}
 
 	private void retryAfterFailure() {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/ModelRequest.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/ModelRequest.java
@@ -6,6 +6,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import io.balsamlane.core.model.PromptPart;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -60,6 +61,15 @@
 				tokens.length, prefixHashes(model, tokens), hash(model + "\n" + prompt));
 	}
 
+	/**
+	 * Return the prefixes of the prompt by which other requests that begin in the same
+	 * way are recognised.
+	 * @return the prefixes, shortest first
+	 */
+	List<PromptPart> prefixes() {
+		return this.prefixHashes.stream().map(PromptPart::of).toList();
+	}
+
 	private static int maxTokens(JsonObject body) {
 		Object value = Stream.of("max_completion_tokens", "max_tokens")
 			.map(body::getValue)
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineHealth.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineHealth.java
@@ -13,17 +13,23 @@
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostList;
 import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.PromptPart;
+import io.balsamlane.core.retry.PromptPartQuarantine;
 import io.balsamlane.core.retry.Quarantine;
 import io.balsamlane.core.retry.ServerAvailability;
 import io.balsamlane.router.engine.EngineClient.ProbeResult;
 import io.balsamlane.router.peer.PeerNetwork;
 import io.balsamlane.router.peer.PeerReply;
+import io.balsamlane.router.quarantine.PromptPartGuard;
+import io.balsamlane.router.quarantine.QuarantineTable;
 import io.balsamlane.router.timeline.Timeline;
 import io.balsamlane.schema.Acknowledgement;
 import io.balsamlane.schema.EngineSettings;
 import io.balsamlane.schema.EventKind;
 import io.balsamlane.schema.PeerMessage;
+import io.balsamlane.schema.QuarantineEntry;
 import io.balsamlane.schema.QuarantineNotice;
+import io.balsamlane.schema.QuarantineSync;
 import io.balsamlane.schema.ServerDeath;
 import io.balsamlane.schema.SuspicionCleared;
 import io.vertx.core.Context;
@@ -33,10 +39,10 @@
 
 /**
  * Tracks the health of the engines: which of them accept new work, which have died, and
- * which requests are quarantined. All methods except {@link #updateHosts} must be called
- * on the event loop of the model requests.
+ * which requests and prompt prefixes are quarantined. All methods except
+ * {@link #updateHosts} must be called on the event loop of the model requests.
  */
-public final class EngineHealth {
+public final class EngineHealth implements QuarantineTable {
 
 	private static final Logger logger = System.getLogger(EngineHealth.class.getName());
 
@@ -52,6 +58,12 @@
 
 	private static final long DEATH_MERGE_NANOS = 3_000_000_000L;
 
+	/**
+	 * Minimum age of a death that is decided upon; less than the time for reports, which
+	 * timers may shorten by rounding.
+	 */
+	private static final long SETTLE_NANOS = 250_000_000L;
+
 	private static final long LEAVING_RETENTION_NANOS = 600_000_000_000L;
 
 	private static final int MAX_SERVERS = 8192;
@@ -76,6 +88,8 @@
 
 	private final Quarantine quarantine;
 
+	private final PromptPartGuard prefixes;
+
 	private final Map<String, Map<String, RunningAttempt>> running = new HashMap<>();
 
 	private final Map<Endpoint, Future<ProbeResult>> probes = new HashMap<>();
@@ -92,11 +106,17 @@
 		this.settings = settings;
 		this.availability = ServerAvailability.create(settings.getFailuresBeforePause(),
 				settings.getFailurePauseMillis() * 1_000_000L, LEAVING_RETENTION_NANOS, MAX_SERVERS);
-		this.quarantine = Quarantine.create(MAX_DEATHS, MAX_QUARANTINED, DEATH_MERGE_NANOS,
+		this.quarantine = Quarantine.create(MAX_DEATHS, MAX_QUARANTINED, DEATH_MERGE_NANOS, SETTLE_NANOS,
+				settings.getQuarantineSeconds() * 1_000_000_000L);
+		this.prefixes = PromptPartGuard.create(network, this::execute, DEATH_MERGE_NANOS, SETTLE_NANOS,
 				settings.getQuarantineSeconds() * 1_000_000_000L);
 		network.register(PeerMessage.BodyCase.SERVER_DEATH,
-				(from, message) -> onContext(() -> this.quarantine.reported(message.getServerDeath().getServer(),
-						message.getServerDeath().getFingerprintsList(), System.nanoTime())));
+				(from, message) -> onContext(() -> applyReport(message.getServerDeath())));
+		network.register(PeerMessage.BodyCase.PROMPT_PART_QUERY, (from, message) -> {
+			Promise<PeerMessage.Builder> reply = Promise.promise();
+			execute(() -> reply.complete(this.prefixes.answer(message.getPromptPartQuery())));
+			return reply.future();
+		});
 		network.register(PeerMessage.BodyCase.SUSPICION_CLEARED, (from, message) -> onContext(
 				() -> message.getSuspicionCleared().getFingerprintsList().forEach(this.quarantine::completed)));
 		network.register(PeerMessage.BodyCase.QUARANTINE_NOTICE,
@@ -117,6 +137,16 @@
 		return new EngineHealth(context, engines, network, timeline, settings);
 	}
 
+	private void execute(Runnable action) {
+		this.context.runOnContext((ignored) -> action.run());
+	}
+
+	private void applyReport(ServerDeath death) {
+		this.quarantine.reported(death.getServer(), death.getFingerprintsList(), System.nanoTime());
+		this.prefixes.applyReport(death);
+		this.vertx.setTimer(REPORT_WAIT_MILLIS, (id) -> quarantinePrefixes());
+	}
+
 	private Future<PeerMessage.Builder> onContext(Runnable action) {
 		Promise<PeerMessage.Builder> reply = Promise.promise();
 		this.context.runOnContext((ignored) -> {
@@ -176,11 +206,14 @@
 	 * @param server the engine
 	 * @param attempt request id and attempt number
 	 * @param fingerprint fingerprint of the request
+	 * @param prefixes prefixes of its prompt, shortest first
 	 * @param delivered supplies the number of tokens that the request has yielded
 	 */
-	public void recordAttemptStart(String server, String attempt, long fingerprint, IntSupplier delivered) {
+	public void recordAttemptStart(String server, String attempt, long fingerprint, List<PromptPart> prefixes,
+			IntSupplier delivered) {
 		this.running.computeIfAbsent(server, (name) -> new HashMap<>())
-			.put(attempt, new RunningAttempt(fingerprint, delivered));
+			.put(attempt,
+					new RunningAttempt(fingerprint, prefixes, delivered, delivered.getAsInt(), System.nanoTime()));
 	}
 
 	/**
@@ -239,19 +272,24 @@
 			return;
 		}
 		this.quarantine.died(server, suspects, nowNanos);
+		List<PromptPartQuarantine.Suspect> withoutOutput = this.running.get(server)
+			.values()
+			.stream()
+			.filter((attempt) -> !attempt.prefixes().isEmpty() && !attempt.hasOutput())
+			.map((attempt) -> new PromptPartQuarantine.Suspect(attempt.prefixes(), attempt.startedNanos()))
+			.toList();
+		this.prefixes.recordCrash(server, withoutOutput, nowNanos);
 		logger.log(Level.WARNING, "Engine {0} died while it was running {1} requests of this router", server,
 				suspects.size());
-		broadcast(PeerMessage.newBuilder()
-			.setServerDeath(ServerDeath.newBuilder().setServer(server).addAllFingerprints(suspects.keySet()))
-			.build());
+		ServerDeath.Builder death = ServerDeath.newBuilder().setServer(server).addAllFingerprints(suspects.keySet());
+		PromptPartGuard.addSuspects(death, withoutOutput, nowNanos);
+		broadcast(PeerMessage.newBuilder().setServerDeath(death).build());
 		this.vertx.setTimer(REPORT_WAIT_MILLIS, (id) -> quarantineCulprits());
 	}
 
 	private void quarantineCulprits() {
 		this.quarantine.quarantineCulprits(System.nanoTime()).forEach((decision) -> {
-			this.timeline.record(EventKind.FINGERPRINT_QUARANTINED, "", 0,
-					Long.toUnsignedString(decision.fingerprint(), 16),
-					"common to the deaths of engines " + decision.servers());
+			recordQuarantine(decision.fingerprint(), "common to the deaths of engines " + decision.servers());
 			broadcast(PeerMessage.newBuilder()
 				.setQuarantineNotice(QuarantineNotice.newBuilder()
 					.setFingerprint(decision.fingerprint())
@@ -259,12 +297,48 @@
 					.addAllServers(decision.servers()))
 				.build());
 		});
+		quarantinePrefixes();
+	}
+
+	private void quarantinePrefixes() {
+		this.prefixes.decide((decision) -> recordQuarantine(decision.part().value(),
+				"prompt prefix common to the deaths of engines " + decision.servers()));
+	}
+
+	@Override
+	public QuarantineSync entries() {
+		QuarantineSync.Builder sync = QuarantineSync.newBuilder().addAllEntries(this.prefixes.entries());
+		this.quarantine.remainingNanos(System.nanoTime())
+			.forEach((fingerprint,
+					nanos) -> sync.addEntries(QuarantineEntry.newBuilder()
+						.setKind(QuarantineEntry.Kind.REQUEST)
+						.setValue(fingerprint)
+						.setRemainingMillis((int) (nanos / 1_000_000))));
+		return sync.build();
+	}
+
+	@Override
+	public void apply(List<QuarantineEntry> entries, String source) {
+		entries.forEach((entry) -> {
+			if (entry.getKind() == QuarantineEntry.Kind.PROMPT_PART) {
+				if (this.prefixes.apply(entry)) {
+					recordQuarantine(entry.getValue(), "prompt prefix, reported by " + source);
+				}
+			}
+			else if (!isQuarantined(entry.getValue())) {
+				this.quarantine.apply(entry.getValue(), entry.getRemainingMillis() * 1_000_000L, System.nanoTime());
+				recordQuarantine(entry.getValue(), "reported by " + source);
+			}
+		});
+	}
+
+	private void recordQuarantine(long fingerprint, String detail) {
+		this.timeline.record(EventKind.FINGERPRINT_QUARANTINED, "", 0, Long.toUnsignedString(fingerprint, 16), detail);
 	}
 
 	private void applyNotice(QuarantineNotice notice) {
 		this.quarantine.apply(notice.getFingerprint(), notice.getRemainingMillis() * 1_000_000L, System.nanoTime());
-		this.timeline.record(EventKind.FINGERPRINT_QUARANTINED, "", 0,
-				Long.toUnsignedString(notice.getFingerprint(), 16), "reported by another router");
+		recordQuarantine(notice.getFingerprint(), "reported by another router");
 	}
 
 	private void broadcast(PeerMessage message) {
@@ -293,19 +367,30 @@
 		return this.quarantine.isQuarantined(fingerprint, System.nanoTime());
 	}
 
+	/**
+	 * Return whether a request is quarantined, itself or because of its prompt.
+	 * @param fingerprint fingerprint of the request
+	 * @param prefixes prefixes of its prompt
+	 * @return true while the request is refused
+	 */
+	public boolean isQuarantined(long fingerprint, List<PromptPart> prefixes) {
+		return isQuarantined(fingerprint) || this.prefixes.isQuarantined(prefixes);
+	}
+
 	/**
 	 * Return whether a request that was running on an engine when it died may run again,
 	 * once the quarantine decision has been made.
 	 * @param fingerprint fingerprint of the request
+	 * @param prefixes prefixes of its prompt
 	 * @return true if the request may run again
 	 */
-	public Future<Boolean> awaitRetryPermission(long fingerprint) {
+	public Future<Boolean> awaitRetryPermission(long fingerprint, List<PromptPart> prefixes) {
 		if (this.quarantine.deathCount(fingerprint) < 2) {
-			return Future.succeededFuture(!isQuarantined(fingerprint));
+			return Future.succeededFuture(!isQuarantined(fingerprint, prefixes));
 		}
 		Promise<Boolean> decided = Promise.promise();
 		// The timer of the decision was set earlier and is shorter, so it fires first.
-		this.vertx.setTimer(REPORT_WAIT_MILLIS + 1, (id) -> decided.complete(!isQuarantined(fingerprint)));
+		this.vertx.setTimer(REPORT_WAIT_MILLIS + 1, (id) -> decided.complete(!isQuarantined(fingerprint, prefixes)));
 		return decided.future();
 	}
 
@@ -340,6 +425,15 @@
 		}
 	}
 
+	/**
+	 * Record that an engine yielded output of a request, so its prompt does not crash
+	 * engines.
+	 * @param prefixes prefixes of the prompt
+	 */
+	public void recordOutput(List<PromptPart> prefixes) {
+		this.prefixes.recordOutput(prefixes);
+	}
+
 	private void scheduleCleared(long fingerprint) {
 		if (this.unsentCleared.isEmpty()) {
 			this.vertx.setTimer(CLEARED_BATCH_MILLIS, (id) -> {
@@ -392,7 +486,13 @@
 					.toList();
 	}
 
-	private record RunningAttempt(long fingerprint, IntSupplier delivered) {
+	private record RunningAttempt(long fingerprint, List<PromptPart> prefixes, IntSupplier delivered,
+			int deliveredBefore, long startedNanos) {
+
+		boolean hasOutput() {
+			return this.delivered.getAsInt() - this.deliveredBefore >= Quarantine.CLEARING_TOKENS;
+		}
+
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
@@ -15,19 +15,15 @@
 
 import io.balsamlane.core.forwarding.ListedServer;
 import io.balsamlane.core.model.HostName;
-import io.balsamlane.core.model.PromptPart;
 import io.balsamlane.core.model.ServerName;
 import io.balsamlane.core.retry.PromptPartQuarantine;
 import io.balsamlane.core.retry.Quarantine;
 import io.balsamlane.router.forwarding.LostConnections.LostRequest;
 import io.balsamlane.router.peer.PeerNetwork;
-import io.balsamlane.router.peer.PeerReply;
+import io.balsamlane.router.quarantine.PromptPartGuard;
+import io.balsamlane.router.quarantine.QuarantineTable;
 import io.balsamlane.schema.Acknowledgement;
-import io.balsamlane.schema.CrashSuspect;
 import io.balsamlane.schema.PeerMessage;
-import io.balsamlane.schema.PromptPartOutput;
-import io.balsamlane.schema.PromptPartQuery;
-import io.balsamlane.schema.PromptPartReply;
 import io.balsamlane.schema.QuarantineEntry;
 import io.balsamlane.schema.QuarantineNotice;
 import io.balsamlane.schema.QuarantineSync;
@@ -43,7 +39,7 @@
  * requests were interrupted on a server that then terminated. All methods run on one
  * event loop.
  */
-public final class CrashGuard {
+public final class CrashGuard implements QuarantineTable {
 
 	/**
 	 * Number of events after which a request has shown that it does not crash servers.
@@ -54,8 +50,6 @@
 
 	private static final int MAX_QUARANTINED = 256;
 
-	private static final int MAX_PROMPT_PARTS = 4096;
-
 	/** Time within which all routers lose their connections to one crashed server. */
 	private static final long CRASH_MERGE_NANOS = 2_000_000_000L;
 
@@ -76,13 +70,13 @@
 	/** Time after which the other routers' reports about a crash have arrived. */
 	private static final long DECISION_DELAY_MILLIS = 250;
 
-	private static final long CALL_TIMEOUT_MILLIS = 500;
-
 	/**
-	 * A router that does not answer in time is not waited for, because servers may be
-	 * crashing meanwhile.
+	 * Minimum age of a crash that is decided upon; less than the delay, which timers may
+	 * shorten by rounding.
 	 */
-	private static final long QUERY_TIMEOUT_MILLIS = 250;
+	private static final long SETTLE_NANOS = 200_000_000L;
+
+	private static final long CALL_TIMEOUT_MILLIS = 500;
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -94,11 +88,10 @@
 
 	private final DecisionLog log;
 
-	private final Quarantine requests = Quarantine.create(MAX_CRASHES, MAX_QUARANTINED, CRASH_MERGE_NANOS,
+	private final Quarantine requests = Quarantine.create(MAX_CRASHES, MAX_QUARANTINED, CRASH_MERGE_NANOS, SETTLE_NANOS,
 			RETENTION_NANOS);
 
-	private final PromptPartQuarantine parts = PromptPartQuarantine.create(MAX_CRASHES, MAX_PROMPT_PARTS,
-			PART_RETENTION_NANOS);
+	private final PromptPartGuard parts;
 
 	private final LostConnections lostConnections = new LostConnections();
 
@@ -116,6 +109,9 @@
 		this.peers = peers;
 		this.probe = probe;
 		this.log = log;
+		// The name of a server contains its start time, so it crashes only once.
+		this.parts = PromptPartGuard.create(peers, Runnable::run, PART_RETENTION_NANOS, SETTLE_NANOS,
+				PART_RETENTION_NANOS);
 	}
 
 	/**
@@ -133,8 +129,8 @@
 		CrashGuard guard = new CrashGuard(vertx, peers, probe, log);
 		peers.register(PeerMessage.BodyCase.SERVER_DEATH,
 				(from, message) -> guard.crashReported(message.getServerDeath()));
-		peers.register(PeerMessage.BodyCase.PROMPT_PART_QUERY, (from, message) -> Future
-			.succeededFuture(PeerMessage.newBuilder().setPromptPartReply(guard.outputs(message.getPromptPartQuery()))));
+		peers.register(PeerMessage.BodyCase.PROMPT_PART_QUERY,
+				(from, message) -> Future.succeededFuture(guard.parts.answer(message.getPromptPartQuery())));
 		peers.register(PeerMessage.BodyCase.QUARANTINE_NOTICE, (from, message) -> {
 			QuarantineNotice notice = message.getQuarantineNotice();
 			guard.apply(List.of(QuarantineEntry.newBuilder()
@@ -155,7 +151,7 @@
 	 * Set the listener that is notified of each decision of this router.
 	 * @param listener the listener
 	 */
-	void setDecisionListener(Consumer<QuarantineEntry> listener) {
+	public void setDecisionListener(Consumer<QuarantineEntry> listener) {
 		this.decisionListener = listener;
 	}
 
@@ -179,9 +175,8 @@
 	 * @return true while it or a part of its prompt is quarantined
 	 */
 	boolean isQuarantined(RequestTraits traits) {
-		long nowNanos = System.nanoTime();
-		return this.requests.isQuarantined(traits.fingerprint(), nowNanos)
-				|| traits.promptParts().stream().anyMatch((part) -> this.parts.isQuarantined(part, nowNanos));
+		return this.requests.isQuarantined(traits.fingerprint(), System.nanoTime())
+				|| this.parts.isQuarantined(traits.promptParts());
 	}
 
 	/**
@@ -210,7 +205,7 @@
 	 * @param traits properties of the request
 	 */
 	void recordOutput(RequestTraits traits) {
-		this.parts.produced(traits.promptParts(), System.nanoTime());
+		this.parts.recordOutput(traits.promptParts());
 	}
 
 	/**
@@ -264,7 +259,7 @@
 		lost.forEach((request) -> this.requests.died(incarnation,
 				Map.of(request.traits().fingerprint(), (int) Math.min(Integer.MAX_VALUE, request.lastEventId())),
 				nowNanos));
-		this.parts.crashed(incarnation, suspects, true, atNanos);
+		this.parts.recordCrash(incarnation, suspects, atNanos);
 		if (this.unreportedCrashes.isEmpty()) {
 			this.vertx.setTimer(REPORT_BATCH_MILLIS, (id) -> reportCrashes());
 		}
@@ -285,12 +280,9 @@
 			long atNanos = lost.stream().mapToLong(LostRequest::lostNanos).min().orElse(nowNanos);
 			ServerDeath.Builder death = ServerDeath.newBuilder()
 				.setServer(incarnation)
-				.setAgeMillis(millis(nowNanos - atNanos))
 				.addAllFingerprints(
 						lost.stream().map((request) -> request.traits().fingerprint()).collect(Collectors.toSet()));
-			suspects(lost).forEach((suspect) -> death.addSuspects(CrashSuspect.newBuilder()
-				.addAllPromptParts(suspect.parts().stream().map(PromptPart::value).toList())
-				.setSentBeforeMillis(millis(atNanos - suspect.sentNanos()))));
+			PromptPartGuard.addSuspects(death, suspects(lost), atNanos);
 			broadcast(PeerMessage.newBuilder().setServerDeath(death));
 		});
 		this.unreportedCrashes.clear();
@@ -301,17 +293,8 @@
 	}
 
 	private Future<PeerMessage.Builder> crashReported(ServerDeath death) {
-		long nowNanos = System.nanoTime();
-		long atNanos = nowNanos - death.getAgeMillis() * NANOS_PER_MILLI;
-		this.requests.reported(death.getServer(), death.getFingerprintsList(), nowNanos);
-		this.parts.crashed(death.getServer(),
-				death.getSuspectsList()
-					.stream()
-					.map((suspect) -> new PromptPartQuarantine.Suspect(
-							suspect.getPromptPartsList().stream().map(PromptPart::of).toList(),
-							atNanos - suspect.getSentBeforeMillis() * NANOS_PER_MILLI))
-					.toList(),
-				false, atNanos);
+		this.requests.reported(death.getServer(), death.getFingerprintsList(), System.nanoTime());
+		this.parts.applyReport(death);
 		scheduleDecision();
 		return acknowledged();
 	}
@@ -322,42 +305,14 @@
 
 	private void decide() {
 		this.requests.quarantineCulprits(System.nanoTime()).forEach(this::announceRequest);
-		Set<PromptPart> candidates = this.parts.candidates(System.nanoTime());
-		if (!candidates.isEmpty()) {
-			queryOutputs(candidates)
-				.onComplete((answered) -> this.parts.quarantineCulprits(System.nanoTime()).forEach(this::announcePart));
-		}
-	}
-
-	// Other routers may have forwarded output of requests with these parts.
-	private Future<?> queryOutputs(Set<PromptPart> candidates) {
-		PeerMessage.Builder query = PeerMessage.newBuilder()
-			.setPromptPartQuery(
-					PromptPartQuery.newBuilder().addAllParts(candidates.stream().map(PromptPart::value).toList()));
-		return Future.join(otherRouters().stream()
-			.map((host) -> this.peers.call(host, query.clone(), QUERY_TIMEOUT_MILLIS).onSuccess(this::applyOutputs))
-			.toList());
-	}
-
-	private void applyOutputs(PeerReply reply) {
-		if (reply instanceof PeerReply.Answered answered) {
-			long nowNanos = System.nanoTime();
-			answered.message()
-				.getPromptPartReply()
-				.getOutputsList()
-				.forEach((output) -> this.parts.produced(List.of(PromptPart.of(output.getPart())),
-						nowNanos - output.getAgeMillis() * NANOS_PER_MILLI));
-		}
-	}
-
-	private PromptPartReply outputs(PromptPartQuery query) {
-		long nowNanos = System.nanoTime();
-		PromptPartReply.Builder reply = PromptPartReply.newBuilder();
-		query.getPartsList()
-			.forEach((part) -> this.parts.outputAgeNanos(PromptPart.of(part), nowNanos)
-				.ifPresent((ageNanos) -> reply
-					.addOutputs(PromptPartOutput.newBuilder().setPart(part).setAgeMillis(millis(ageNanos)))));
-		return reply.build();
+		this.parts.decide((decision) -> {
+			this.log.log("prompt-part-quarantined", "", "part", decision.part(), "servers", decision.servers(),
+					"source", "own");
+			this.parts.entries()
+				.stream()
+				.filter((entry) -> entry.getValue() == decision.part().value())
+				.forEach(this::announced);
+		});
 	}
 
 	private void announceRequest(Quarantine.Decision decision) {
@@ -375,18 +330,6 @@
 			.build());
 	}
 
-	private void announcePart(PromptPartQuarantine.Decision decision) {
-		this.log.log("prompt-part-quarantined", "", "part", decision.part(), "servers", decision.servers(), "source",
-				"own");
-		QuarantineEntry entry = QuarantineEntry.newBuilder()
-			.setKind(QuarantineEntry.Kind.PROMPT_PART)
-			.setValue(decision.part().value())
-			.setRemainingMillis(millis(PART_RETENTION_NANOS))
-			.build();
-		broadcast(PeerMessage.newBuilder().setQuarantineSync(QuarantineSync.newBuilder().addEntries(entry)));
-		announced(entry);
-	}
-
 	private void announced(QuarantineEntry entry) {
 		this.decisionListener.accept(entry);
 		endQuarantinedRequests();
@@ -399,62 +342,50 @@
 			.forEach(TrackedRequest::quarantined);
 	}
 
-	/**
-	 * Apply quarantines that another router decided on or that were stored.
-	 * @param entries the quarantines
-	 * @param source their origin, for the log
-	 */
-	void apply(List<QuarantineEntry> entries, String source) {
-		long nowNanos = System.nanoTime();
+	@Override
+	public void apply(List<QuarantineEntry> entries, String source) {
 		entries.forEach((entry) -> {
-			long remainingNanos = entry.getRemainingMillis() * NANOS_PER_MILLI;
-			PromptPart part = PromptPart.of(entry.getValue());
+			String value = Long.toHexString(entry.getValue());
 			if (entry.getKind() == QuarantineEntry.Kind.REQUEST) {
-				if (!this.requests.isQuarantined(entry.getValue(), nowNanos)) {
-					this.requests.apply(entry.getValue(), remainingNanos, nowNanos);
-					this.log.log("request-quarantined", "", "fingerprint", part, "source", source);
+				if (applyRequest(entry)) {
+					this.log.log("request-quarantined", "", "fingerprint", value, "source", source);
 				}
 			}
-			else if (this.parts.apply(part, remainingNanos, nowNanos)) {
-				this.log.log("prompt-part-quarantined", "", "part", part, "source", source);
+			else if (this.parts.apply(entry)) {
+				this.log.log("prompt-part-quarantined", "", "part", value, "source", source);
 			}
 		});
 		endQuarantinedRequests();
 	}
 
-	/**
-	 * Return all quarantines in force.
-	 * @return the quarantines with their remaining times
-	 */
-	QuarantineSync entries() {
+	private boolean applyRequest(QuarantineEntry entry) {
 		long nowNanos = System.nanoTime();
-		QuarantineSync.Builder sync = QuarantineSync.newBuilder();
-		add(sync, QuarantineEntry.Kind.REQUEST, this.requests.remainingNanos(nowNanos));
-		add(sync, QuarantineEntry.Kind.PROMPT_PART,
-				this.parts.remainingNanos(nowNanos)
-					.entrySet()
-					.stream()
-					.collect(Collectors.toMap((entry) -> entry.getKey().value(), Map.Entry::getValue)));
+		if (this.requests.isQuarantined(entry.getValue(), nowNanos)) {
+			return false;
+		}
+		this.requests.apply(entry.getValue(), entry.getRemainingMillis() * NANOS_PER_MILLI, nowNanos);
+		return true;
+	}
+
+	@Override
+	public QuarantineSync entries() {
+		QuarantineSync.Builder sync = QuarantineSync.newBuilder().addAllEntries(this.parts.entries());
+		this.requests.remainingNanos(System.nanoTime())
+			.forEach((fingerprint,
+					nanos) -> sync.addEntries(QuarantineEntry.newBuilder()
+						.setKind(QuarantineEntry.Kind.REQUEST)
+						.setValue(fingerprint)
+						.setRemainingMillis(millis(nanos))));
 		return sync.build();
 	}
 
-	private static void add(QuarantineSync.Builder sync, QuarantineEntry.Kind kind, Map<Long, Long> remainingNanos) {
-		remainingNanos.forEach((value, nanos) -> sync
-			.addEntries(QuarantineEntry.newBuilder().setKind(kind).setValue(value).setRemainingMillis(millis(nanos))));
-	}
-
 	private void broadcast(PeerMessage.Builder message) {
-		otherRouters().forEach((host) -> this.peers.call(host, message.clone(), CALL_TIMEOUT_MILLIS));
-	}
-
-	private List<HostName> otherRouters() {
 		HostName self = this.peers.members().self().host();
-		return this.peers.members()
+		this.peers.members()
 			.members()
 			.stream()
-			.map((member) -> member.host())
-			.filter((host) -> !host.equals(self))
-			.toList();
+			.filter((member) -> !member.host().equals(self))
+			.forEach((member) -> this.peers.call(member.host(), message.clone(), CALL_TIMEOUT_MILLIS));
 	}
 
 }
--- a/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/QuarantineReplicatorTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/quarantine/QuarantineReplicationTests.java
@@ -1,10 +1,10 @@
-package io.balsamlane.router.forwarding;
+package io.balsamlane.router.quarantine;
 
-import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -16,7 +16,6 @@
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
-import io.balsamlane.core.model.PromptPart;
 import io.balsamlane.router.peer.PeerHandler;
 import io.balsamlane.router.peer.PeerNetwork;
 import io.balsamlane.router.peer.PeerReply;
@@ -29,6 +28,7 @@
 import io.balsamlane.schema.NodeId;
 import io.balsamlane.schema.PeerMessage;
 import io.balsamlane.schema.QuarantineEntry;
+import io.balsamlane.schema.QuarantineSync;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -39,16 +39,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Tests for {@link QuarantineReplicator}: a router that was not running or not reachable
- * when a quarantine was announced must learn of it, and entries of the store that cannot
- * be read must not prevent that.
+ * Tests for {@link QuarantineExchange} and {@link QuarantineRecords}: a router that was
+ * not running or not reachable when a quarantine was announced must learn of it, and
+ * entries of the store that cannot be read must not prevent that.
  */
-class QuarantineReplicatorTests {
+class QuarantineReplicationTests {
 
 	private static final int ROUTERS = 12;
 
-	private static final RequestTraits QUARANTINED = new RequestTraits(1, List.of(PromptPart.of(0xdead)));
-
 	private static final QuarantineEntry ENTRY = QuarantineEntry.newBuilder()
 		.setKind(QuarantineEntry.Kind.PROMPT_PART)
 		.setValue(0xdead)
@@ -61,21 +59,23 @@
 
 	private final List<PrefixRead.Item> stored = new ArrayList<>();
 
-	private final DecisionLog log = DecisionLog.create("router", new PrintStream(new ByteArrayOutputStream()));
+	private final List<String> unreadable = new ArrayList<>();
 
 	@AfterEach
 	void close() throws Exception {
 		this.vertx.close().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
 	}
 
-	private CrashGuard startRouter(int number) {
+	private FakeTable startRouter(int number) {
 		FakeNetwork network = new FakeNetwork(host(number));
-		CrashGuard guard = CrashGuard.create(this.vertx, network, (server) -> Future.succeededFuture(false), this.log);
-		QuarantineReplicator
-			.create(this.vertx, network, new FakeStore(), guard, RandomSource.XO_RO_SHI_RO_128_PP.create(number),
-					this.log)
+		FakeTable table = new FakeTable();
+		QuarantineExchange
+			.create(this.vertx, Runnable::run, network, table, RandomSource.XO_RO_SHI_RO_128_PP.create(number))
+			.start();
+		QuarantineRecords
+			.create(this.vertx, host(number).value(), new FakeStore(), table, (key, reason) -> this.unreadable.add(key))
 			.start();
-		return guard;
+		return table;
 	}
 
 	private static HostName host(int number) {
@@ -88,10 +88,10 @@
 		return done.future().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
 	}
 
-	private boolean allQuarantinedWithin(List<CrashGuard> guards, long millis) throws Exception {
+	private boolean allQuarantinedWithin(List<FakeTable> tables, long millis) throws Exception {
 		long limit = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
 		while (System.nanoTime() < limit) {
-			if (onLoop(() -> guards.stream().allMatch((guard) -> guard.isQuarantined(QUARANTINED)))) {
+			if (onLoop(() -> tables.stream().allMatch((table) -> table.values.contains(ENTRY.getValue())))) {
 				return true;
 			}
 			Thread.sleep(20);
@@ -101,21 +101,38 @@
 
 	@Test
 	void quarantineReachesRoutersThatMissedItsAnnouncement() throws Exception {
-		List<CrashGuard> guards = onLoop(() -> IntStream.range(0, ROUTERS).mapToObj(this::startRouter).toList());
-		onLoop(() -> {
-			guards.get(0).apply(List.of(ENTRY), "test");
-			return null;
-		});
-		assertThat(allQuarantinedWithin(guards, 15_000)).isTrue();
+		List<FakeTable> tables = onLoop(() -> IntStream.range(0, ROUTERS).mapToObj(this::startRouter).toList());
+		onLoop(() -> tables.get(0).values.add(ENTRY.getValue()));
+		assertThat(allQuarantinedWithin(tables, 15_000)).isTrue();
 	}
 
 	@Test
 	void readsStoredQuarantinesAndIgnoresMalformedKeys() throws Exception {
 		for (String key : List.of("", "prompt_part", "prompt_part/xyz", "unknown/1", "prompt_part/dead",
 				"prompt_part/123456789abcdef01")) {
-			this.stored.add(new PrefixRead.Item(QuarantineReplicator.KEY_PREFIX + key, new byte[0]));
+			this.stored.add(new PrefixRead.Item(QuarantineRecords.KEY_PREFIX + key, new byte[0]));
+		}
+		FakeTable table = onLoop(() -> startRouter(0));
+		assertThat(allQuarantinedWithin(List.of(table), 5000)).isTrue();
+		assertThat(this.unreadable).hasSize(5);
+	}
+
+	private static final class FakeTable implements QuarantineTable {
+
+		private final Set<Long> values = new HashSet<>();
+
+		@Override
+		public QuarantineSync entries() {
+			return QuarantineSync.newBuilder()
+				.addAllEntries(this.values.stream().map((value) -> ENTRY.toBuilder().setValue(value).build()).toList())
+				.build();
+		}
+
+		@Override
+		public void apply(List<QuarantineEntry> entries, String source) {
+			entries.forEach((entry) -> this.values.add(entry.getValue()));
 		}
-		assertThat(allQuarantinedWithin(List.of(onLoop(() -> startRouter(0))), 5000)).isTrue();
+
 	}
 
 	/** Network in which each router reaches each other one. */
@@ -125,12 +142,12 @@
 
 		FakeNetwork(HostName host) {
 			this.host = host;
-			QuarantineReplicatorTests.this.handlers.put(host, new ConcurrentHashMap<>());
+			QuarantineReplicationTests.this.handlers.put(host, new ConcurrentHashMap<>());
 		}
 
 		@Override
 		public MemberView members() {
-			List<Member> members = QuarantineReplicatorTests.this.handlers.keySet()
+			List<Member> members = QuarantineReplicationTests.this.handlers.keySet()
 				.stream()
 				.map(FakeNetwork::member)
 				.toList();
@@ -147,7 +164,7 @@
 
 		@Override
 		public Future<PeerReply> call(HostName to, PeerMessage.Builder message, long timeoutMillis) {
-			return QuarantineReplicatorTests.this.handlers.get(to)
+			return QuarantineReplicationTests.this.handlers.get(to)
 				.get(message.getBodyCase())
 				.handle(NodeId.newBuilder().setHost(this.host.value()).build(), message.build())
 				.map((reply) -> new PeerReply.Answered(reply.build()));
@@ -155,7 +172,7 @@
 
 		@Override
 		public void register(PeerMessage.BodyCase body, PeerHandler handler) {
-			QuarantineReplicatorTests.this.handlers.get(this.host).put(body, handler);
+			QuarantineReplicationTests.this.handlers.get(this.host).put(body, handler);
 		}
 
 	}
@@ -165,7 +182,8 @@
 
 		@Override
 		public Future<PrefixRead> list(String prefix) {
-			return Future.succeededFuture(new PrefixRead.Listed(List.copyOf(QuarantineReplicatorTests.this.stored), 1));
+			return Future
+				.succeededFuture(new PrefixRead.Listed(List.copyOf(QuarantineReplicationTests.this.stored), 1));
 		}
 
 		@Override
