Follow the server list after an entry that cannot be read

Reported by another operator: one odd entry of another writer ended the routers that read the list, or they stopped following it. It happens here. In the product, one odd entry of the host list kept all routers on the previous list.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -13,12 +14,13 @@
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.model.RouterHost;
 import io.balsamlane.core.model.ServerName;
+import io.balsamlane.router.json.UntrustedJson;
 import io.balsamlane.schema.HostListSettings;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 
 /**
@@ -78,7 +80,7 @@
 			.compose((request) -> request.send())
 			.compose((response) -> response.body())
 			.timeout(Math.max(1000, this.settings.getPollMillis()), TimeUnit.MILLISECONDS)
-			.map((body) -> parse(body.toJsonArray()))
+			.map(HostListReader::parse)
 			.onSuccess(this::notifyIfChanged)
 			.onFailure((cause) -> logger.log(Level.WARNING,
 					"The host list cannot be read; keeping the previous list: {0}", cause.getMessage()));
@@ -91,17 +93,25 @@
 		}
 	}
 
-	static HostList parse(JsonArray json) {
-		List<JsonObject> hosts = json.stream().map((item) -> (JsonObject) item).toList();
-		return new HostList(
-				hosts.stream()
-					.filter((host) -> !host.getString("kind").equals("router"))
-					.map(HostListReader::toServer)
-					.toList(),
-				hosts.stream()
-					.filter((host) -> host.getString("kind").equals("router"))
-					.map(HostListReader::toRouter)
-					.toList());
+	static HostList parse(Buffer body) {
+		List<BackendServer> servers = new ArrayList<>();
+		List<RouterHost> routers = new ArrayList<>();
+		for (Buffer element : UntrustedJson.objectsOf(body)) {
+			try {
+				JsonObject host = UntrustedJson.object(element);
+				if (host.getString("kind").equals("router")) {
+					routers.add(toRouter(host));
+				}
+				else {
+					servers.add(toServer(host));
+				}
+			}
+			catch (RuntimeException ex) {
+				// Other programs may write entries too.
+				logger.log(Level.WARNING, "An entry of the host list cannot be read and is ignored: {0}", ex);
+			}
+		}
+		return new HostList(servers, routers);
 	}
 
 	private static BackendServer toServer(JsonObject host) {
@@ -117,7 +127,8 @@
 	}
 
 	private static Endpoint endpoint(JsonObject host) {
-		return Endpoint.of(host.getString("address"), host.getInteger("port"));
+		// A typed getter would truncate a larger number to a valid port.
+		return Endpoint.of(host.getString("address"), Math.toIntExact(host.getLong("port")));
 	}
 
 	private static boolean isLeaving(JsonObject host) {
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/json/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decoding of JSON that other programs wrote.
+ */
+package io.balsamlane.router.json;
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/hosts/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the host list.
+ */
+package io.balsamlane.router.hosts;
