End a stream visibly when its continuation is no continuation

Reported by another operator: a stream had begun and broke off, and the text of the next engine's error stood in the middle of it, or it ended as if it were complete. Part of it happens here. Cause: a response with status 200 was taken for a stream whatever its content type, so events in the text of an error entered the stream; and a continuation that ended without any event counted as the rest of the stream. A success other than 200 without a signature was relayed. Change: a continuation must be an event stream with at least one event; otherwise the attempt counts as broken. A success without a signature is not relayed. Errors with status 404, 500 and 206 did not enter the stream before either.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 
@@ -306,7 +307,7 @@
 	}
 
 	private void streaming(HttpClientResponse serverResponse) {
-		if (serverResponse.statusCode() != OK) {
+		if (serverResponse.statusCode() != OK || !isEventStream(serverResponse)) {
 			nonStreamResponse(serverResponse);
 			return;
 		}
@@ -324,6 +325,11 @@
 		serverResponse.endHandler((ended) -> streamEnded(current));
 	}
 
+	private static boolean isEventStream(HttpClientResponse serverResponse) {
+		String type = serverResponse.getHeader("Content-Type");
+		return type == null || type.toLowerCase(Locale.ROOT).startsWith("text/event-stream");
+	}
+
 	private void nonStreamResponse(HttpClientResponse serverResponse) {
 		ServerCall current = this.decodeCall;
 		ResponseBodyReader.read(serverResponse, context().limits().maxResponseBytes(), context().responseMemory())
@@ -331,7 +337,9 @@
 				if (this.decodeCall != current || isDone()) {
 					return;
 				}
-				if (read.failed() || this.headSent) {
+				boolean unsignedSuccess = serverResponse.statusCode() / 100 == 2
+						&& !context().dialect().signed(serverResponse.headers());
+				if (read.failed() || this.headSent || unsignedSuccess) {
 					abortDecode(current, "status " + serverResponse.statusCode());
 					return;
 				}
@@ -406,7 +414,10 @@
 		if (this.decodeCall != current || isDone()) {
 			return;
 		}
-		if (!this.splitter.atBoundary() || !this.headSent) {
+		// A server that resumes a stream and sends no event does not show that the stream
+		// is
+		// complete.
+		if (!this.splitter.atBoundary() || this.serverEvents == 0) {
 			abortDecode(current, "the stream ended within an event or before the first one");
 			return;
 		}
