Do not take a repeated refusal for the refusal of the next request

Cause: the mark of a refusal was looked at before the id of the response, and a refusal without an id was believed on any connection. Change: the id is checked first; after a response without the id of its request the connection is not used again, so its copy cannot reach another request.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -100,22 +100,31 @@
 		}
 	}
 
+	// A copy of a response that carries no id could be taken for the response to the next
+	// request, so its connection is not used again.
 	private void headReceived(HttpClientResponse response, String requestId) {
 		if (this.ended) {
 			return;
 		}
+		Optional<String> defect = this.context.dialect().defect(response.statusCode(), response.headers(), requestId);
+		if (defect.isPresent()) {
+			this.outgoing.reset();
+			fail(new AttemptOutcome.Broken(defect.get()));
+			return;
+		}
+		boolean identified = this.context.dialect().identified(response.headers(), requestId);
 		if (this.context.dialect().notRun(response.statusCode(), response.headers())) {
 			if (this.context.dialect().misdirected(response.statusCode())) {
 				this.context.state().serverLeft(this.server, "its address belongs to another server");
 			}
+			if (!identified) {
+				this.outgoing.reset();
+			}
 			fail(new AttemptOutcome.NotRun(response.statusCode()));
 			return;
 		}
-		Optional<String> defect = this.context.dialect().defect(response.statusCode(), response.headers(), requestId);
-		if (defect.isPresent()) {
-			this.outgoing.reset();
-			fail(new AttemptOutcome.Broken(defect.get()));
-			return;
+		if (!identified) {
+			response.end().onComplete((ended) -> this.outgoing.connection().close());
 		}
 		this.ended = true;
 		this.responseListener.accept(response);
