End a stream visibly when its continuation repeats old events only

Callers could see a stream end as if it were complete when the next engine began it anew and ended before the first new event. Cause: any event of the continuation counted, also one that the caller had. Change: only an event that was not forwarded before counts. Measured: three cases of StreamContractTests failed before, 25 of 25 green now.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -99,6 +99,9 @@
 	/** Number of events that the current server has sent. */
 	private int serverEvents;
 
+	/** Whether the current server has sent events that were not forwarded before. */
+	private boolean newEvents;
+
 	private boolean headSent;
 
 	private int failedPrefills;
@@ -288,6 +291,7 @@
 		this.splitter = EventSplitter.create(context().limits().maxEventBytes());
 		this.stream = null;
 		this.serverEvents = 0;
+		this.newEvents = false;
 		this.decodeNanos = System.nanoTime();
 		attempts().started(engine.name());
 		this.excluded.add(engine.name());
@@ -378,6 +382,7 @@
 		if (numbered && event.id() <= this.lastEventId) {
 			return;
 		}
+		this.newEvents = true;
 		HttpServerResponse response = request().response();
 		if (!this.headSent) {
 			this.headSent = true;
@@ -414,10 +419,8 @@
 		if (this.decodeCall != current || isDone()) {
 			return;
 		}
-		// A server that resumes a stream and sends no event does not show that the stream
-		// is
-		// complete.
-		if (!this.splitter.atBoundary() || this.serverEvents == 0) {
+		// A continuation without a new event does not show that the stream is complete.
+		if (!this.splitter.atBoundary() || !this.newEvents) {
 			abortDecode(current, "the stream ended within an event or before the first one");
 			return;
 		}
