--- a/review/1/EndlessAnswer.java
+++ b/review/1/EndlessAnswer.java
@@ -13,7 +13,7 @@
 	private static final double TROUBLE_AT_SECONDS = 2;
 
 	/** Every such request whose prompt was read elsewhere finds no memory at its replica. */
-	private static final int REFUSED_ONE_IN = 4;
+	private static final int REFUSED_ONE_IN = 10;
 
 	private static final AtomicBoolean OPEN = new AtomicBoolean();
 
--- a/review/5/SilentStore.java
+++ b/review/4/SilentStore.java
@@ -71,12 +71,12 @@
 			record.line("the store acknowledged version %d", version);
 			Thread.sleep((change < 2) ? CHANGE_MILLIS : ThreadLocalRandom.current().nextInt(CHANGE_MILLIS));
 		}
-		double silentSeconds = Record.seconds();
 		if (trouble) {
 			for (Proxy proxy : proxies) {
 				record.line("%d open connections to the store are silent from here on", proxy.silence());
 			}
 		}
+		double silentSeconds = Record.seconds();
 		Thread.sleep(300);
 		routes.add(Site.route("r-new", "/puxa403/", "idempotent", "ledger", 2000, 486, 2, false));
 		store.put("op/config", Site.configuration(version + 2, routes, List.of(Site.plain("ledger"))));
--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -127,6 +127,9 @@
 	/** A request with the means to answer it. */
 	static final class Call {
 
+		/** Below a link of 1,000 Mbit/s. */
+		private static final long LINK_BYTES_PER_MICRO = 110;
+
 		final Replica replica;
 
 		final Http.Message request;
@@ -189,10 +192,14 @@
 			write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n");
 			byte[] block = "no answer ".repeat(1600).getBytes(StandardCharsets.ISO_8859_1);
 			long sent = 0;
+			long fromNanos = System.nanoTime();
 			try {
 				while (true) {
 					this.socket.getOutputStream().write(block);
 					sent += block.length;
+					if (System.nanoTime() - fromNanos < sent * 1_000 / LINK_BYTES_PER_MICRO) {
+						pause(1);
+					}
 					if ((sent >> 23) != ((sent - block.length) >> 23)) {
 						record.line("%s has sent %d MB", this.replica.id, sent >> 20);
 					}
