Bound the response to a freed KV cache handle in size and time

Cause: StreamExchange.free read the body of that response with HttpClientResponse.body(), without a maximum size and without a time limit, and nothing closed its connection. All other responses of engines go through ResponseBodyReader.

Change: BoundedHttpClient makes calls whose responses are read completely. Its time limit covers the wait for a connection, the head and the body; a body has a maximum size; informational responses are counted; the connection of a call that fails is closed. ServerClient.call uses it, and StreamExchange.free calls that. ResponseBodyReader and ResponseMemory move to the new package http, and the limit of informational responses is shared with ServerCall.

Conclusion: the bytes accepted for such a response are bounded by 16 KB, plus what is in flight until the connection is closed.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingContext.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingContext.java
@@ -1,5 +1,6 @@
 package io.balsamlane.router.forwarding;
 
+import io.balsamlane.router.http.ResponseMemory;
 import io.vertx.core.Vertx;
 
 /**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -13,6 +13,7 @@
 import io.balsamlane.router.edge.ErrorKind;
 import io.balsamlane.router.edge.Ran;
 import io.balsamlane.router.edge.Refusal;
+import io.balsamlane.router.http.ResponseMemory;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
@@ -80,7 +81,7 @@
 		state.setTerminationListener(crashGuard::serverTerminated);
 		return new FrontServer(new ForwardingContext(vertx, dialect, state, new ServerClient(vertx, limits), limits,
 				log, metrics, new WaitingStreams(vertx), crashGuard, reservations,
-				new ResponseMemory(limits.maxBufferedBytes())), readyPath);
+				ResponseMemory.ofSize(limits.maxBufferedBytes())), readyPath);
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
@@ -16,6 +16,7 @@
 import io.balsamlane.core.forwarding.RequestMetadata;
 import io.balsamlane.core.model.BackendServer;
 import io.balsamlane.router.edge.ErrorKind;
+import io.balsamlane.router.http.ResponseBodyReader;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -5,6 +5,7 @@
 
 import io.balsamlane.core.forwarding.AttemptOutcome;
 import io.balsamlane.core.forwarding.ListedServer;
+import io.balsamlane.router.http.InformationalResponses;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -19,12 +20,6 @@
  */
 final class ServerCall {
 
-	/**
-	 * Maximum number of informational responses (status 1xx) before the final one;
-	 * servers that send more do not respond.
-	 */
-	private static final int MAX_INFORMATIONAL_RESPONSES = 8;
-
 	private final ForwardingContext context;
 
 	private final ListedServer server;
@@ -35,8 +30,6 @@
 
 	private HttpClientRequest outgoing;
 
-	private int informationalResponses;
-
 	private boolean sent;
 
 	private boolean ended;
@@ -81,8 +74,8 @@
 					headReceived(response.result(), requestId);
 				}
 			});
-			this.outgoing.continueHandler((ignored) -> informationalResponse());
-			this.outgoing.earlyHintsHandler((ignored) -> informationalResponse());
+			InformationalResponses.limit(this.outgoing, () -> fail(new AttemptOutcome.Broken(
+					"more than " + InformationalResponses.MAX_RESPONSES + " informational responses")));
 			this.sent = true;
 			if (body.length() > 0) {
 				this.outgoing.end(body.copy());
@@ -93,13 +86,6 @@
 		});
 	}
 
-	private void informationalResponse() {
-		if (++this.informationalResponses > MAX_INFORMATIONAL_RESPONSES && !this.ended) {
-			this.outgoing.reset();
-			fail(new AttemptOutcome.Broken("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses"));
-		}
-	}
-
 	// A copy of a response that carries no id could be taken for the response to the next
 	// request, so its connection is not used again.
 	private void headReceived(HttpClientResponse response, String requestId) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerClient.java
@@ -1,8 +1,11 @@
 package io.balsamlane.router.forwarding;
 
 import io.balsamlane.core.forwarding.ListedServer;
+import io.balsamlane.router.http.BoundedHttpClient;
+import io.balsamlane.router.http.ReceivedResponse;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
@@ -11,12 +14,24 @@
 import io.vertx.core.http.RequestOptions;
 
 /**
- * HTTP client for backend servers, with a pool of keep-alive connections.
+ * HTTP client for backend servers, with a pool of keep-alive connections that the
+ * requests of callers and this router's own calls share.
  */
 final class ServerClient {
 
+	/**
+	 * Time limit for a call of this router's own: a connect timeout and several round
+	 * trips between regions.
+	 */
+	private static final int CALL_TIMEOUT_MILLIS = 1000;
+
+	/** Maximum size of the response to a call of this router's own. */
+	private static final int MAX_CALL_RESPONSE_BYTES = 16 << 10;
+
 	private final HttpClient client;
 
+	private final BoundedHttpClient calls;
+
 	ServerClient(Vertx vertx, ForwardingLimits limits) {
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(limits.connectTimeoutMillis())
 			.setKeepAliveTimeout(limits.keepAliveSeconds())
@@ -24,6 +39,7 @@
 			.setMaxHeaderSize(16384);
 		this.client = vertx.createHttpClient(options,
 				new PoolOptions().setHttp1MaxSize(limits.maxConnections()).setMaxWaitQueueSize(0));
+		this.calls = BoundedHttpClient.of(this.client, MAX_CALL_RESPONSE_BYTES);
 	}
 
 	/**
@@ -35,10 +51,25 @@
 	 * @return the request, not yet sent
 	 */
 	Future<HttpClientRequest> open(ListedServer server, HttpMethod method, String uri) {
-		return this.client.request(new RequestOptions().setMethod(method)
+		return this.client.request(options(server, method, uri));
+	}
+
+	/**
+	 * Make a call of this router's own, which no caller waits for.
+	 * @param server the server
+	 * @param method the method
+	 * @param uri path and query
+	 * @return the response; fails if it is not complete within the limits of such calls
+	 */
+	Future<ReceivedResponse> call(ListedServer server, HttpMethod method, String uri) {
+		return this.calls.call(options(server, method, uri), Buffer.buffer(), CALL_TIMEOUT_MILLIS);
+	}
+
+	private static RequestOptions options(ListedServer server, HttpMethod method, String uri) {
+		return new RequestOptions().setMethod(method)
 			.setURI(uri)
 			.setHost(server.server().endpoint().address())
-			.setPort(server.server().endpoint().port()));
+			.setPort(server.server().endpoint().port());
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -19,6 +19,7 @@
 import io.balsamlane.core.forwarding.SharedLoadPlacement;
 import io.balsamlane.core.model.ServerName;
 import io.balsamlane.router.edge.ErrorKind;
+import io.balsamlane.router.http.ResponseBodyReader;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
@@ -500,9 +501,7 @@
 	// Releases a KV cache that no decode engine has fetched.
 	private void free(KvCache unused) {
 		context().client()
-			.open(unused.engine(), HttpMethod.DELETE, context().dialect().handlePath(unused.handle()))
-			.compose((opened) -> opened.send())
-			.compose((serverResponse) -> serverResponse.body())
+			.call(unused.engine(), HttpMethod.DELETE, context().dialect().handlePath(unused.handle()))
 			.onFailure(
 					(cause) -> log("cache-not-freed", "server", unused.engine().name(), "reason", cause.getMessage()));
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ResponseBodyReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
@@ -1,4 +1,4 @@
-package io.balsamlane.router.forwarding;
+package io.balsamlane.router.http;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -9,11 +9,22 @@
  * Reads the complete body of a backend server's response, up to a maximum size and within
  * the memory that responses may occupy.
  */
-final class ResponseBodyReader {
+public final class ResponseBodyReader {
 
 	private ResponseBodyReader() {
 	}
 
+	/**
+	 * Read the body of a response that is too small to be counted with the memory of
+	 * others.
+	 * @param response the response
+	 * @param maxBytes maximum size of the body, in bytes
+	 * @return the body; fails if it is truncated or too large
+	 */
+	static Future<Buffer> read(HttpClientResponse response, int maxBytes) {
+		return read(response, maxBytes, ResponseMemory.ofSize(maxBytes));
+	}
+
 	/**
 	 * Read the body of a response. A body that is delimited by the end of the connection
 	 * is complete only if the connection was closed without an error.
@@ -22,7 +33,7 @@
 	 * @param memory limits the memory of all responses
 	 * @return the body; fails if it is truncated or too large
 	 */
-	static Future<Buffer> read(HttpClientResponse response, int maxBytes, ResponseMemory memory) {
+	public static Future<Buffer> read(HttpClientResponse response, int maxBytes, ResponseMemory memory) {
 		Promise<Buffer> promise = Promise.promise();
 		Buffer content = Buffer.buffer();
 		response.handler((chunk) -> {
--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reading of HTTP responses within limits of size, memory and time.
+ */
+package io.balsamlane.router.http;
--- a/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/ResponseMemoryTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/http/ResponseMemoryTests.java
@@ -1,4 +1,4 @@
-package io.balsamlane.router.forwarding;
+package io.balsamlane.router.http;
 
 import java.util.stream.IntStream;
 
@@ -14,7 +14,7 @@
 
 	private static final int MAX_BYTES = 1 << 20;
 
-	private final ResponseMemory memory = new ResponseMemory(MAX_BYTES);
+	private final ResponseMemory memory = ResponseMemory.ofSize(MAX_BYTES);
 
 	@Test
 	void endlessResponsesStayWithinLimitAndOrdinaryOnesAreAdmitted() {
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of reading HTTP responses within limits.
+ */
+package io.balsamlane.router.http;
