Replace all connections to the store when one may be silent

Cause: a watch of 3 s was given up only 1 s after its end, which uses up the 4 s that the platform grants. The full read that follows took an idle connection from the pool, which was silent too, for another second: a time-out closed only the connection on which it had occurred.

Change: RenewableHttpClient replaces the whole pool after a time-out. A watch whose response is 300 ms overdue is confirmed by the shortest watch on a new connection, and the first of the two responses counts, so a store that is only slow is not taken for lost.

Conclusion: the worst case is the interval between watches (200 ms), the watch (3,000 ms), the margin (300 ms), and two round trips.

--- /dev/null
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/RenewableHttpClient.java
@@ -0,0 +1,114 @@
+package io.balsamlane.router.http;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.RequestOptions;
+
+/**
+ * {@link BoundedHttpClient} for one server whose open connections may go silent without a
+ * reset, while new ones work. A call that times out shows that its connection may be
+ * silent, and with it all others that were open at that time: further calls use new
+ * connections. Confined to one event loop.
+ */
+public final class RenewableHttpClient {
+
+	private final Vertx vertx;
+
+	private final Supplier<HttpClient> pools;
+
+	private final int maxBodyBytes;
+
+	private final long maxCallMillis;
+
+	private final Runnable replacementListener;
+
+	private HttpClient pool;
+
+	private BoundedHttpClient client;
+
+	private RenewableHttpClient(Vertx vertx, Supplier<HttpClient> pools, int maxBodyBytes, long maxCallMillis,
+			Runnable replacementListener) {
+		this.vertx = vertx;
+		this.pools = pools;
+		this.maxBodyBytes = maxBodyBytes;
+		this.maxCallMillis = maxCallMillis;
+		this.replacementListener = replacementListener;
+		open();
+	}
+
+	/**
+	 * Create a client.
+	 * @param vertx the event loop
+	 * @param pools creates a pool of connections
+	 * @param maxBodyBytes maximum size of the body of a response, in bytes
+	 * @param maxCallMillis longest time limit of a call, in milliseconds; a pool that has
+	 * been replaced is closed after this time
+	 * @param replacementListener notified when the connections are replaced
+	 * @return the client
+	 */
+	public static RenewableHttpClient create(Vertx vertx, Supplier<HttpClient> pools, int maxBodyBytes,
+			long maxCallMillis, Runnable replacementListener) {
+		return new RenewableHttpClient(vertx, pools, maxBodyBytes, maxCallMillis, replacementListener);
+	}
+
+	private void open() {
+		this.pool = this.pools.get();
+		this.client = BoundedHttpClient.of(this.pool, this.maxBodyBytes);
+	}
+
+	/**
+	 * Make a call.
+	 * @param options address, method, path and headers
+	 * @param content body of the request
+	 * @param timeoutMillis time limit of the call, in milliseconds
+	 * @return the response; fails if it is not complete within the limits
+	 */
+	public Future<ReceivedResponse> call(RequestOptions options, Buffer content, long timeoutMillis) {
+		HttpClient used = this.pool;
+		return this.client.call(options, content, timeoutMillis).onFailure((cause) -> {
+			if (cause instanceof TimeoutException) {
+				replace(used);
+			}
+		});
+	}
+
+	/**
+	 * Make a call that the server answers late on purpose. If the response is overdue, a
+	 * second call on a new connection shows whether the first connection is silent or the
+	 * server is slow. The first of the two responses counts.
+	 * @param options address, method, path and headers
+	 * @param confirmation the second call, to which the server responds at once
+	 * @param overdueMillis time after which the response to the first call is overdue, in
+	 * milliseconds
+	 * @param timeoutMillis time limit of both calls together, in milliseconds
+	 * @return the response; fails if neither call is complete within the limits
+	 */
+	public Future<ReceivedResponse> callConfirmed(RequestOptions options, RequestOptions confirmation,
+			long overdueMillis, long timeoutMillis) {
+		HttpClient used = this.pool;
+		Promise<ReceivedResponse> first = Promise.promise();
+		call(options, Buffer.buffer(), timeoutMillis).onSuccess(first::tryComplete).onFailure(first::tryFail);
+		long timer = this.vertx.setTimer(overdueMillis, (id) -> {
+			replace(used);
+			call(confirmation, Buffer.buffer(), timeoutMillis - overdueMillis).onSuccess(first::tryComplete);
+		});
+		return first.future().onComplete((done) -> this.vertx.cancelTimer(timer));
+	}
+
+	// Calls in progress keep their connections, which may only be slow.
+	private void replace(HttpClient suspected) {
+		if (this.pool == suspected) {
+			open();
+			suspected.shutdown(this.maxCallMillis, TimeUnit.MILLISECONDS);
+			this.replacementListener.run();
+		}
+	}
+
+}
