--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -6,6 +6,7 @@
 import io.balsamlane.core.forwarding.AttemptOutcome;
 import io.balsamlane.core.forwarding.ListedServer;
 import io.balsamlane.router.http.InformationalResponses;
+import io.balsamlane.router.http.ResponseBodyReader;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -20,6 +21,12 @@
  */
 final class ServerCall {
 
+	/** Maximum size of the body of a refusal, which is not forwarded. */
+	private static final int MAX_REFUSAL_BYTES = 16 << 10;
+
+	/** Time limit for the body of a refusal: several round trips between regions. */
+	private static final long REFUSAL_TIMEOUT_MILLIS = 500;
+
 	private final ForwardingContext context;
 
 	private final ListedServer server;
@@ -103,7 +110,10 @@
 			if (this.context.dialect().misdirected(response.statusCode())) {
 				this.context.state().serverLeft(this.server, "its address belongs to another server");
 			}
-			if (!identified) {
+			if (identified) {
+				ResponseBodyReader.drain(response, MAX_REFUSAL_BYTES, REFUSAL_TIMEOUT_MILLIS);
+			}
+			else {
 				this.outgoing.reset();
 			}
 			fail(new AttemptOutcome.NotRun(response.statusCode()));
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
@@ -1,5 +1,7 @@
 package io.balsamlane.router.http;
 
+import java.util.concurrent.TimeUnit;
+
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
@@ -21,10 +23,22 @@
 	 * @param maxBytes maximum size of the body, in bytes
 	 * @return the body; fails if it is truncated or too large
 	 */
-	static Future<Buffer> read(HttpClientResponse response, int maxBytes) {
+	public static Future<Buffer> read(HttpClientResponse response, int maxBytes) {
 		return read(response, maxBytes, ResponseMemory.ofSize(maxBytes));
 	}
 
+	/**
+	 * Read and discard the body of a response, so that its connection can be used again.
+	 * The connection is closed instead if the body is not complete within the limits.
+	 * @param response the response
+	 * @param maxBytes maximum size of the body, in bytes
+	 * @param timeoutMillis time limit, in milliseconds
+	 */
+	public static void drain(HttpClientResponse response, int maxBytes, long timeoutMillis) {
+		read(response, maxBytes).timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+			.onFailure((cause) -> response.request().reset());
+	}
+
 	/**
 	 * Read the body of a response. A body that is delimited by the end of the connection
 	 * is complete only if the connection was closed without an error.
