Bound all calls whose responses are read completely

Engine cancels, running attempts, probes, prefills, refused decodes, load reports, states, orders, the host list and the store read bodies without a maximum size. Their time limits, where they had one, failed only the future and left the connection open, so that a pool could fill up with silent connections.

Change: they use BoundedHttpClient or ResponseBodyReader, with a maximum size for each kind of response; the connection of a failed call is closed. The store client uses RenewableHttpClient, and its overdue watches are confirmed on a new connection.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/DecodeStream.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/DecodeStream.java
@@ -3,6 +3,8 @@
 import java.util.function.Consumer;
 
 import io.balsamlane.router.engine.DecodeEvent.Broken;
+import io.balsamlane.router.http.InformationalResponses;
+import io.balsamlane.router.http.ResponseBodyReader;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -36,6 +38,7 @@
 		}
 		this.request = opened;
 		opened.exceptionHandler((cause) -> end(new Broken(String.valueOf(cause.getMessage()))));
+		InformationalResponses.limit(opened, () -> abort("the engine sent too many informational responses"));
 		opened.send(body)
 			.onSuccess(this::read)
 			.onFailure((cause) -> end(new Broken(String.valueOf(cause.getMessage()))));
@@ -43,9 +46,9 @@
 
 	private void read(HttpClientResponse response) {
 		if (response.statusCode() != 200) {
-			response.body()
+			ResponseBodyReader.read(response, HttpEngineClient.MAX_RESPONSE_BYTES)
 				.onSuccess((body) -> end(new DecodeEvent.Refused(HttpEngineClient.errorKind(response, body))))
-				.onFailure((cause) -> end(new Broken(String.valueOf(cause.getMessage()))));
+				.onFailure((cause) -> abort(String.valueOf(cause.getMessage())));
 			return;
 		}
 		RecordParser lines = RecordParser.newDelimited("\n", this::readLine);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineObserver.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineObserver.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -13,11 +12,11 @@
 import io.balsamlane.core.scheduling.CacheEvent;
 import io.balsamlane.core.scheduling.EngineDescriptor;
 import io.balsamlane.core.scheduling.EngineLoad;
+import io.balsamlane.router.http.BoundedHttpClient;
 import io.balsamlane.schema.EngineRole;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
@@ -33,7 +32,10 @@
 
 	private final Vertx vertx;
 
-	private final HttpClient client;
+	/** Maximum size of a report or of a list of cache events. */
+	private static final int MAX_RESPONSE_BYTES = 1 << 20;
+
+	private final BoundedHttpClient client;
 
 	private final Supplier<List<EngineDescriptor>> engines;
 
@@ -51,7 +53,7 @@
 			Function<String, Optional<Endpoint>> endpoints, BiConsumer<EngineDescriptor, EngineLoad> loads,
 			BiConsumer<EngineDescriptor, List<CacheEvent>> caches) {
 		this.vertx = vertx;
-		this.client = vertx.createHttpClient();
+		this.client = BoundedHttpClient.of(vertx.createHttpClient(), MAX_RESPONSE_BYTES);
 		this.engines = engines;
 		this.endpoints = endpoints;
 		this.loads = loads;
@@ -107,11 +109,9 @@
 			.setHost(endpoint.address())
 			.setPort(endpoint.port())
 			.setURI(uri);
-		return this.client.request(options)
-			.compose((request) -> request.send())
-			.compose((response) -> (response.statusCode() == 200) ? response.body()
-					: Future.failedFuture("status " + response.statusCode()))
-			.timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		return this.client.call(options, Buffer.buffer(), CALL_TIMEOUT_MILLIS)
+			.compose((response) -> (response.status() == 200) ? Future.succeededFuture(response.body())
+					: Future.failedFuture("status " + response.status()));
 	}
 
 	private static EngineLoad toLoad(EngineDescriptor engine, Buffer body) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/HttpEngineClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/HttpEngineClient.java
@@ -3,10 +3,11 @@
 import java.net.ConnectException;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.router.http.BoundedHttpClient;
+import io.balsamlane.router.http.ReceivedResponse;
 import io.balsamlane.schema.EngineSettings;
 import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
@@ -27,6 +28,12 @@
 
 	private static final int CONTROL_TIMEOUT_MILLIS = 1000;
 
+	/**
+	 * Maximum size of a response that is not a stream; a list of 4,096 running attempts
+	 * takes 400 KB.
+	 */
+	static final int MAX_RESPONSE_BYTES = 1 << 20;
+
 	private final EngineConnectionPools pools;
 
 	private final EngineSettings settings;
@@ -80,30 +87,33 @@
 
 	@Override
 	public Future<CancelResult> cancel(Endpoint engine, String attempt) {
-		return this.pools.client(engine)
-			.request(options(engine, HttpMethod.POST, "/v1/cancel", ""))
-			.compose((request) -> request.send(new JsonObject().put("attempt", attempt).toBuffer()))
-			.compose((response) -> response.body().map((body) -> toCancelResult(response, body)))
-			.timeout(CONTROL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+		return control(engine, HttpMethod.POST, "/v1/cancel", new JsonObject().put("attempt", attempt).toBuffer())
+			.map(HttpEngineClient::toCancelResult)
 			.otherwise(CancelResult.UNCONFIRMED);
 	}
 
-	private static CancelResult toCancelResult(HttpClientResponse response, Buffer body) {
-		if (response.statusCode() != 200) {
+	private Future<ReceivedResponse> control(Endpoint engine, HttpMethod method, String uri, Buffer content) {
+		return bounded(this.pools.client(engine)).call(options(engine, method, uri, ""), content,
+				CONTROL_TIMEOUT_MILLIS);
+	}
+
+	private static BoundedHttpClient bounded(HttpClient client) {
+		return BoundedHttpClient.of(client, MAX_RESPONSE_BYTES);
+	}
+
+	private static CancelResult toCancelResult(ReceivedResponse response) {
+		if (response.status() != 200) {
 			return CancelResult.UNCONFIRMED;
 		}
-		return (body.toJsonObject().getInteger("releasedPieces", 0) > 0) ? CancelResult.RELEASED
+		return (response.body().toJsonObject().getInteger("releasedPieces", 0) > 0) ? CancelResult.RELEASED
 				: CancelResult.NOTHING_HELD;
 	}
 
 	@Override
 	public Future<Optional<List<String>>> runningAttempts(Endpoint engine) {
-		return this.pools.client(engine)
-			.request(options(engine, HttpMethod.GET, "/v1/running", ""))
-			.compose((request) -> request.send())
-			.compose((response) -> response.body())
-			.timeout(CONTROL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-			.map((body) -> Optional.of(body.toJsonArray()
+		return control(engine, HttpMethod.GET, "/v1/running", Buffer.buffer())
+			.map((response) -> Optional.of(response.body()
+				.toJsonArray()
 				.stream()
 				.map((item) -> ((JsonObject) item).getString("attempt"))
 				.distinct()
@@ -114,10 +124,9 @@
 	@Override
 	public Future<ProbeResult> probe(Endpoint engine) {
 		HttpClient client = this.pools.create(1);
-		return client.request(options(engine, HttpMethod.GET, "/v1/load", ""))
-			.compose((request) -> request.send())
-			.compose((response) -> response.body())
-			.timeout(this.settings.getProbeTimeoutMillis(), TimeUnit.MILLISECONDS)
+		return bounded(client)
+			.call(options(engine, HttpMethod.GET, "/v1/load", ""), Buffer.buffer(),
+					this.settings.getProbeTimeoutMillis())
 			.map(ProbeResult.ALIVE)
 			.otherwise((cause) -> isRefused(cause) ? ProbeResult.REFUSED : ProbeResult.SILENT)
 			.onComplete((done) -> client.close());
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/PrefillExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/PrefillExchange.java
@@ -2,6 +2,8 @@
 
 import java.util.function.Consumer;
 
+import io.balsamlane.router.http.InformationalResponses;
+import io.balsamlane.router.http.ResponseBodyReader;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -30,10 +32,12 @@
 		}
 		this.request = opened;
 		opened.exceptionHandler((cause) -> end(new PrefillResult.Broken(String.valueOf(cause.getMessage()))));
+		InformationalResponses.limit(opened, () -> abort("the engine sent too many informational responses"));
 		opened.send(content)
-			.compose((response) -> response.body().map((body) -> toResult(response, body)))
+			.compose((response) -> ResponseBodyReader.read(response, HttpEngineClient.MAX_RESPONSE_BYTES)
+				.map((body) -> toResult(response, body)))
 			.onSuccess(this::end)
-			.onFailure((cause) -> end(new PrefillResult.Broken(String.valueOf(cause.getMessage()))));
+			.onFailure((cause) -> abort(String.valueOf(cause.getMessage())));
 	}
 
 	private static PrefillResult toResult(HttpClientResponse response, Buffer body) {
@@ -50,6 +54,11 @@
 		}
 	}
 
+	private void abort(String reason) {
+		end(new PrefillResult.Broken(reason));
+		this.request.reset();
+	}
+
 	void end(PrefillResult result) {
 		if (!this.ended) {
 			this.ended = true;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
@@ -4,7 +4,6 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.balsamlane.core.model.BackendServer;
@@ -14,11 +13,11 @@
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.model.RouterHost;
 import io.balsamlane.core.model.ServerName;
+import io.balsamlane.router.http.BoundedHttpClient;
 import io.balsamlane.router.json.UntrustedJson;
 import io.balsamlane.schema.HostListSettings;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
@@ -30,11 +29,16 @@
 
 	private static final Logger logger = System.getLogger(HostListReader.class.getName());
 
+	/** Maximum size of the list; 2,000 hosts take 500 KB. */
+	private static final int MAX_RESPONSE_BYTES = 4 << 20;
+
+	private static final int MIN_TIMEOUT_MILLIS = 1000;
+
 	private final Vertx vertx;
 
 	private final HostListSettings settings;
 
-	private final HttpClient client;
+	private final BoundedHttpClient client;
 
 	private final Consumer<HostList> listener;
 
@@ -46,7 +50,7 @@
 		this.vertx = vertx;
 		this.settings = settings;
 		this.listener = listener;
-		this.client = vertx.createHttpClient();
+		this.client = BoundedHttpClient.of(vertx.createHttpClient(), MAX_RESPONSE_BYTES);
 	}
 
 	/**
@@ -76,11 +80,10 @@
 	}
 
 	private void poll() {
-		this.client.request(new RequestOptions().setMethod(HttpMethod.GET).setAbsoluteURI(this.settings.getUrl()))
-			.compose((request) -> request.send())
-			.compose((response) -> response.body())
-			.timeout(Math.max(1000, this.settings.getPollMillis()), TimeUnit.MILLISECONDS)
-			.map(HostListReader::parse)
+		this.client
+			.call(new RequestOptions().setMethod(HttpMethod.GET).setAbsoluteURI(this.settings.getUrl()),
+					Buffer.buffer(), Math.max(MIN_TIMEOUT_MILLIS, this.settings.getPollMillis()))
+			.map((response) -> parse(response.body()))
 			.onSuccess(this::notifyIfChanged)
 			.onFailure((cause) -> logger.log(Level.WARNING,
 					"The host list cannot be read; keeping the previous list: {0}", cause.getMessage()));
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/RenewableHttpClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/RenewableHttpClient.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 
 import io.vertx.core.Future;
@@ -15,7 +16,7 @@
  * {@link BoundedHttpClient} for one server whose open connections may go silent without a
  * reset, while new ones work. A call that times out shows that its connection may be
  * silent, and with it all others that were open at that time: further calls use new
- * connections. Confined to one event loop.
+ * connections.
  */
 public final class RenewableHttpClient {
 
@@ -29,9 +30,7 @@
 
 	private final Runnable replacementListener;
 
-	private HttpClient pool;
-
-	private BoundedHttpClient client;
+	private final AtomicReference<Pool> pool;
 
 	private RenewableHttpClient(Vertx vertx, Supplier<HttpClient> pools, int maxBodyBytes, long maxCallMillis,
 			Runnable replacementListener) {
@@ -40,7 +39,7 @@
 		this.maxBodyBytes = maxBodyBytes;
 		this.maxCallMillis = maxCallMillis;
 		this.replacementListener = replacementListener;
-		open();
+		this.pool = new AtomicReference<>(open());
 	}
 
 	/**
@@ -58,9 +57,9 @@
 		return new RenewableHttpClient(vertx, pools, maxBodyBytes, maxCallMillis, replacementListener);
 	}
 
-	private void open() {
-		this.pool = this.pools.get();
-		this.client = BoundedHttpClient.of(this.pool, this.maxBodyBytes);
+	private Pool open() {
+		HttpClient connections = this.pools.get();
+		return new Pool(connections, BoundedHttpClient.of(connections, this.maxBodyBytes));
 	}
 
 	/**
@@ -71,8 +70,8 @@
 	 * @return the response; fails if it is not complete within the limits
 	 */
 	public Future<ReceivedResponse> call(RequestOptions options, Buffer content, long timeoutMillis) {
-		HttpClient used = this.pool;
-		return this.client.call(options, content, timeoutMillis).onFailure((cause) -> {
+		Pool used = this.pool.get();
+		return used.client().call(options, content, timeoutMillis).onFailure((cause) -> {
 			if (cause instanceof TimeoutException) {
 				replace(used);
 			}
@@ -92,23 +91,33 @@
 	 */
 	public Future<ReceivedResponse> callConfirmed(RequestOptions options, RequestOptions confirmation,
 			long overdueMillis, long timeoutMillis) {
-		HttpClient used = this.pool;
+		Pool used = this.pool.get();
 		Promise<ReceivedResponse> first = Promise.promise();
 		call(options, Buffer.buffer(), timeoutMillis).onSuccess(first::tryComplete).onFailure(first::tryFail);
 		long timer = this.vertx.setTimer(overdueMillis, (id) -> {
 			replace(used);
-			call(confirmation, Buffer.buffer(), timeoutMillis - overdueMillis).onSuccess(first::tryComplete);
+			call(confirmation, Buffer.buffer(), Math.max(1, timeoutMillis - overdueMillis))
+				.onSuccess(first::tryComplete);
 		});
 		return first.future().onComplete((done) -> this.vertx.cancelTimer(timer));
 	}
 
 	// Calls in progress keep their connections, which may only be slow.
-	private void replace(HttpClient suspected) {
-		if (this.pool == suspected) {
-			open();
-			suspected.shutdown(this.maxCallMillis, TimeUnit.MILLISECONDS);
+	private void replace(Pool suspected) {
+		if (this.pool.get() != suspected) {
+			return;
+		}
+		Pool next = open();
+		if (this.pool.compareAndSet(suspected, next)) {
+			suspected.connections().shutdown(this.maxCallMillis, TimeUnit.MILLISECONDS);
 			this.replacementListener.run();
 		}
+		else {
+			next.connections().close();
+		}
+	}
+
+	private record Pool(HttpClient connections, BoundedHttpClient client) {
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/orders/HttpEngineOrderClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/orders/HttpEngineOrderClient.java
@@ -2,19 +2,18 @@
 
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.TimeUnit;
 
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.ServerName;
 import io.balsamlane.core.orders.EngineOrder;
 import io.balsamlane.core.orders.EngineState;
+import io.balsamlane.router.http.BoundedHttpClient;
+import io.balsamlane.router.http.ReceivedResponse;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -30,14 +29,18 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-	private final HttpClient client;
+	/** Maximum size of a response; the state of an engine takes a few hundred bytes. */
+	private static final int MAX_RESPONSE_BYTES = 64 << 10;
+
+	private final BoundedHttpClient client;
 
 	private final long callTimeoutMillis;
 
 	private HttpEngineOrderClient(Vertx vertx, long callTimeoutMillis) {
 		this.callTimeoutMillis = callTimeoutMillis;
-		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
-				new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENGINE));
+		this.client = BoundedHttpClient
+			.of(vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
+					new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENGINE)), MAX_RESPONSE_BYTES);
 	}
 
 	/**
@@ -52,18 +55,16 @@
 
 	@Override
 	public Future<StateAnswer> readState(Endpoint engine) {
-		return this.client.request(options(HttpMethod.GET, engine, "/v1/state"))
-			.compose((request) -> exchange(request, Buffer.buffer()))
-			.compose((response) -> response.body().map((body) -> toState(response, body)))
-			.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
+		return this.client.call(options(HttpMethod.GET, engine, "/v1/state"), Buffer.buffer(), this.callTimeoutMillis)
+			.map(HttpEngineOrderClient::toState)
 			.otherwise((cause) -> new StateAnswer.Unreadable(String.valueOf(cause.getMessage())));
 	}
 
-	private static StateAnswer toState(HttpClientResponse response, Buffer body) {
-		if (response.statusCode() != 200) {
-			return new StateAnswer.Unreadable("the engine answered with status " + response.statusCode());
+	private static StateAnswer toState(ReceivedResponse response) {
+		if (response.status() != 200) {
+			return new StateAnswer.Unreadable("the engine answered with status " + response.status());
 		}
-		JsonObject json = body.toJsonObject();
+		JsonObject json = response.body().toJsonObject();
 		List<String> adapters = json.getJsonArray("adapters", new JsonArray()).stream().map(String::valueOf).toList();
 		return new StateAnswer.Read(new EngineState(json.getString("role", ""), json.getString("model", ""), adapters,
 				json.getLong("fencing", 0L), json.getInteger("pendingOrders", 0)));
@@ -75,10 +76,9 @@
 		JsonObject json = new JsonObject().put("fencing", fencing)
 			.put("kind", order.kind().name().toLowerCase(Locale.ROOT))
 			.put("value", order.value());
-		return this.client.request(options(HttpMethod.POST, engine, "/v1/orders"))
+		return this.client.open(options(HttpMethod.POST, engine, "/v1/orders"), this.callTimeoutMillis)
 			.transform((connected) -> connected.succeeded() ? send(connected.result(), json, notAfterNanos)
 					: notSent(String.valueOf(connected.cause().getMessage())))
-			.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
 			.otherwise((cause) -> new OrderAnswer.Undecided(String.valueOf(cause.getMessage())));
 	}
 
@@ -90,22 +90,14 @@
 			request.reset();
 			return notSent("the lease no longer covers the order");
 		}
-		return exchange(request, content)
-			.compose((response) -> response.body().map((body) -> toResult(response.statusCode(), body)));
+		return this.client.send(request, content, this.callTimeoutMillis)
+			.map((response) -> toResult(response.status(), response.body()));
 	}
 
 	private static Future<OrderAnswer> notSent(String reason) {
 		return Future.succeededFuture(new OrderAnswer.NotSent(reason));
 	}
 
-	private Future<HttpClientResponse> exchange(HttpClientRequest request, Buffer content) {
-		// Resets a request without an answer, so that it does not stay queued in the
-		// engine.
-		return request.send(content)
-			.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
-			.onFailure((cause) -> request.reset());
-	}
-
 	private static OrderAnswer toResult(int status, Buffer body) {
 		if (status == 200 || status == 202) {
 			return new OrderAnswer.Accepted();
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
@@ -1,16 +1,17 @@
 package io.balsamlane.router.store;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.URI;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
+import io.balsamlane.router.http.ReceivedResponse;
+import io.balsamlane.router.http.RenewableHttpClient;
 import io.balsamlane.schema.StoreSettings;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
-import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -21,11 +22,25 @@
  */
 public final class HttpPlatformStore implements LeaseStore {
 
+	private static final Logger logger = System.getLogger(HttpPlatformStore.class.getName());
+
 	private static final int MAX_CONNECTIONS = 16;
 
+	/**
+	 * Time after the end of a watch at which its response is overdue: some round trips
+	 * between regions, and delays on either side.
+	 */
+	private static final long WATCH_OVERDUE_MILLIS = 300;
+
+	/** The shortest watch, to which the store responds at once. */
+	private static final int SHORTEST_WATCH_MILLIS = 1;
+
 	private static final String VERSION_HEADER = "X-Version";
 
-	private final HttpClient client;
+	/** Values take up to 1 MB. */
+	private static final int MAX_RESPONSE_BYTES = 8 << 20;
+
+	private final RenewableHttpClient client;
 
 	private final URI base;
 
@@ -37,8 +52,11 @@
 		this.base = URI.create(settings.getUrl());
 		this.callTimeoutMillis = settings.getCallTimeoutMillis();
 		this.watchWaitMillis = settings.getWatchWaitMillis();
-		this.client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(this.callTimeoutMillis),
-				new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+		this.client = RenewableHttpClient.create(vertx,
+				() -> vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(this.callTimeoutMillis),
+						new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS)),
+				MAX_RESPONSE_BYTES, (long) this.watchWaitMillis + this.callTimeoutMillis,
+				() -> logger.log(Level.WARNING, "A call to the store timed out; using new connections"));
 	}
 
 	/**
@@ -53,65 +71,60 @@
 
 	@Override
 	public Future<StoreRead> get(String key) {
-		return read("/v1/kv/" + key, this.callTimeoutMillis);
+		return toRead(
+				this.client.call(options(HttpMethod.GET, "/v1/kv/" + key), Buffer.buffer(), this.callTimeoutMillis));
 	}
 
 	@Override
 	public Future<StoreRead> watch(String key, long afterVersion) {
-		return read("/v1/watch/" + key + "?after=" + afterVersion + "&wait=" + this.watchWaitMillis,
-				this.watchWaitMillis + this.callTimeoutMillis);
+		String uri = "/v1/watch/" + key + "?after=" + afterVersion + "&wait=";
+		return toRead(this.client.callConfirmed(options(HttpMethod.GET, uri + this.watchWaitMillis),
+				options(HttpMethod.GET, uri + SHORTEST_WATCH_MILLIS), this.watchWaitMillis + WATCH_OVERDUE_MILLIS,
+				(long) this.watchWaitMillis + this.callTimeoutMillis));
 	}
 
-	private Future<StoreRead> read(String uri, long timeoutMillis) {
-		Future<StoreRead> answer = this.client.request(options(HttpMethod.GET, uri))
-			.compose((request) -> request.send())
-			.compose((response) -> response.body().map((body) -> toRead(response, body)));
-		return answer.timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+	private static Future<StoreRead> toRead(Future<ReceivedResponse> response) {
+		return response.map(HttpPlatformStore::toRead)
 			.otherwise((cause) -> new StoreRead.Unavailable(cause.getMessage()));
 	}
 
-	private static StoreRead toRead(HttpClientResponse response, Buffer body) {
-		return switch (response.statusCode()) {
-			case 200 -> new StoreRead.Found(body.getBytes(), version(response));
+	private static StoreRead toRead(ReceivedResponse response) {
+		return switch (response.status()) {
+			case 200 -> new StoreRead.Found(response.body().getBytes(), version(response));
 			case 204 -> new StoreRead.Unchanged();
 			case 404 -> new StoreRead.Absent();
-			default -> new StoreRead.Unavailable("the store answered with status " + response.statusCode());
+			default -> new StoreRead.Unavailable("the store answered with status " + response.status());
 		};
 	}
 
 	@Override
 	public Future<StoreWrite> compareAndSet(String key, byte[] value, long expectedVersion) {
-		return write(writeOptions(key, expectedVersion), value);
+		return write(writeOptions(key, expectedVersion), Buffer.buffer(value));
 	}
 
 	@Override
 	public Future<StoreWrite> compareAndSet(String key, byte[] value, long expectedVersion, long lease) {
-		return write(writeOptions(key, expectedVersion).putHeader("X-Lease", Long.toString(lease)), value);
+		return write(writeOptions(key, expectedVersion).putHeader("X-Lease", Long.toString(lease)),
+				Buffer.buffer(value));
 	}
 
 	private RequestOptions writeOptions(String key, long expectedVersion) {
 		return options(HttpMethod.PUT, "/v1/kv/" + key).putHeader("If-Version", Long.toString(expectedVersion));
 	}
 
-	private Future<StoreWrite> write(RequestOptions options, byte[] value) {
-		Future<StoreWrite> answer = this.client.request(options)
-			.compose((request) -> request.send(Buffer.buffer(value)))
-			.compose((response) -> response.body().map((body) -> toWrite(response)));
-		return answer.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
+	private Future<StoreWrite> write(RequestOptions options, Buffer content) {
+		return this.client.call(options, content, this.callTimeoutMillis)
+			.map(HttpPlatformStore::toWrite)
 			.otherwise((cause) -> new StoreWrite.Undecided(cause.getMessage()));
 	}
 
 	@Override
 	public Future<StoreWrite> delete(String key) {
-		Future<StoreWrite> answer = this.client.request(options(HttpMethod.DELETE, "/v1/kv/" + key))
-			.compose((request) -> request.send())
-			.compose((response) -> response.body().map((body) -> toWrite(response)));
-		return answer.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
-			.otherwise((cause) -> new StoreWrite.Undecided(cause.getMessage()));
+		return write(options(HttpMethod.DELETE, "/v1/kv/" + key), Buffer.buffer());
 	}
 
-	private static StoreWrite toWrite(HttpClientResponse response) {
-		int status = response.statusCode();
+	private static StoreWrite toWrite(ReceivedResponse response) {
+		int status = response.status();
 		if (status == 200) {
 			return new StoreWrite.Written(version(response));
 		}
@@ -146,10 +159,8 @@
 
 	private Future<StoreLease> lease(HttpMethod method, String uri, Buffer content,
 			Function<JsonObject, StoreLease> onSuccess) {
-		Future<StoreLease> answer = this.client.request(options(method, uri))
-			.compose((request) -> request.send(content))
-			.compose((response) -> response.body().map((body) -> toLease(response.statusCode(), body, onSuccess)));
-		return answer.timeout(this.callTimeoutMillis, TimeUnit.MILLISECONDS)
+		return this.client.call(options(method, uri), content, this.callTimeoutMillis)
+			.map((response) -> toLease(response.status(), response.body(), onSuccess))
 			.otherwise((cause) -> new StoreLease.Undecided(cause.getMessage()));
 	}
 
@@ -161,8 +172,8 @@
 		};
 	}
 
-	private static long version(HttpClientResponse response) {
-		return Long.parseLong(response.getHeader(VERSION_HEADER));
+	private static long version(ReceivedResponse response) {
+		return Long.parseLong(response.headers().get(VERSION_HEADER));
 	}
 
 	private RequestOptions options(HttpMethod method, String uri) {
