Answer every request that is accepted during a shutdown

Report of another operator: in a planned stop, requests that came late in the grace period were taken and forwarded, and cut without a response at its end, among them requests that may not be repeated. It happened here too.

Cause: after SIGTERM, FrontServer accepted each request that was complete on an open connection, whatever time was left, with the caller's own deadline. When the time for the shutdown was over, Vert.x closed the connections in use.

Change: ShutdownSchedule (core, without I/O) decides. The deadline of a request, which servers receive, ends with the time for requests. Those still in progress shortly before the connections close end with 503 if they have not run, otherwise with 504; a stream that has begun is reset, as before.

Conclusion: a caller whose request was read completely receives a response. Read, not changed: the product's own daemon refuses new requests after its notice time, but one whose body arrives late may still be cut at its drain timeout.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
@@ -75,8 +75,12 @@
 		this.body = body;
 		this.traits = RequestTraits.of(CrashGuard.fingerprint(request, body), metadata);
 		this.startNanos = startNanos;
-		long limitMillis = (metadata.deadlineMillis() > 0) ? Math.min(metadata.deadlineMillis(), route.timeoutMillis())
+		long callerMillis = (metadata.deadlineMillis() > 0) ? Math.min(metadata.deadlineMillis(), route.timeoutMillis())
 				: route.timeoutMillis();
+		long limitMillis = context.state()
+			.shutdown()
+			.map((schedule) -> Math.min(callerMillis, schedule.remainingMillis(startNanos)))
+			.orElse(callerMillis);
 		this.deadlineNanos = startNanos + limitMillis * NANOS_PER_MILLI;
 		this.attempts = RequestAttempts.create(route.kind(), route.maxAttempts(),
 				() -> context.state().budget(service.name()).tryAcquire(System.nanoTime()));
@@ -113,6 +117,23 @@
 		}
 	}
 
+	/**
+	 * End the request because this process exits. The caller receives a response rather
+	 * than a closed connection.
+	 */
+	final void processExits() {
+		if (this.done) {
+			return;
+		}
+		cancel("process exits");
+		if (this.attempts.giveUp() == NextStep.REFUSE) {
+			refuse(ErrorKind.SHUTTING_DOWN, "this router exits before a server has started the request", 0);
+		}
+		else {
+			fail(ErrorKind.TIMED_OUT, "this router exits before the response is complete");
+		}
+	}
+
 	private void timedOut() {
 		if (this.done) {
 			return;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -11,6 +11,7 @@
 import io.balsamlane.core.forwarding.ListedServer;
 import io.balsamlane.core.forwarding.ServerTable;
 import io.balsamlane.core.forwarding.SharedLoadPlacement;
+import io.balsamlane.core.forwarding.ShutdownSchedule;
 import io.balsamlane.core.forwarding.WindowedRetryBudget;
 import io.balsamlane.core.model.ServerName;
 import io.balsamlane.core.retry.ReplicaChooser;
@@ -62,7 +63,7 @@
 
 	private long serversNanos;
 
-	private boolean draining;
+	private ShutdownSchedule shutdown;
 
 	private ForwardingState(DecisionLog log, ServerTable servers, SharedLoadPlacement engines, RetryRule retryRule) {
 		this.log = log;
@@ -184,9 +185,18 @@
 
 	/**
 	 * Record that this process is shutting down.
+	 * @param schedule decides about requests until it exits
 	 */
-	public void drain() {
-		this.draining = true;
+	void drain(ShutdownSchedule schedule) {
+		this.shutdown = schedule;
+	}
+
+	/**
+	 * Return the schedule of the shutdown.
+	 * @return the schedule, empty before the shutdown has begun
+	 */
+	Optional<ShutdownSchedule> shutdown() {
+		return Optional.ofNullable(this.shutdown);
 	}
 
 	/**
@@ -194,7 +204,7 @@
 	 * @return true once the shutdown has begun
 	 */
 	public boolean draining() {
-		return this.draining;
+		return this.shutdown != null;
 	}
 
 	/**
@@ -203,7 +213,7 @@
 	 * down
 	 */
 	public boolean ready() {
-		return this.configuration != null && this.serversKnown && !this.draining;
+		return this.configuration != null && this.serversKnown && this.shutdown == null;
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -1,6 +1,9 @@
 package io.balsamlane.router.forwarding;
 
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -9,6 +12,7 @@
 import io.balsamlane.core.forwarding.ForwardingConfiguration;
 import io.balsamlane.core.forwarding.ForwardingRoute;
 import io.balsamlane.core.forwarding.RequestMetadata;
+import io.balsamlane.core.forwarding.ShutdownSchedule;
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.router.edge.ErrorKind;
 import io.balsamlane.router.edge.Ran;
@@ -54,6 +58,8 @@
 
 	private HttpServer readiness;
 
+	private final Set<ForwardedExchange> exchanges = new HashSet<>();
+
 	private int inProgress;
 
 	private long bufferedBytes;
@@ -251,22 +257,36 @@
 			refuse(request, Refusal.quarantined(Ran.NO));
 			return;
 		}
+		if (!this.context.state()
+			.shutdown()
+			.map((schedule) -> schedule.accepts(route, System.nanoTime()))
+			.orElse(true)) {
+			refuse(request, Refusal.withRetry(ErrorKind.SHUTTING_DOWN, Ran.NO,
+					"this router exits before the request could end", RETRY_AFTER_MILLIS));
+			return;
+		}
 		admission.exchange = route.kind().streams()
 				? new StreamExchange(this.context, request, metadata, route, service, body, startNanos)
 				: new PlainExchange(this.context, request, metadata, route, service, body, startNanos);
+		this.exchanges.add(admission.exchange);
 		admission.exchange.start();
 	}
 
 	/**
 	 * Shut down gracefully. Wait until the load balancer has removed this router, stop
-	 * accepting requests, wait for those in progress, and close both servers. Keep-alive
-	 * connections are closed as soon as they are idle, so that no request arrives while
-	 * this process exits.
+	 * accepting connections, wait for the requests in progress, and close both servers.
+	 * Keep-alive connections are closed as soon as they are idle. A request that still
+	 * arrives is refused if it cannot end in time; those that have not ended shortly
+	 * before the limit end with an error.
 	 * @param limitMillis time limit for the shutdown, in milliseconds
 	 * @return completes when both servers are closed
 	 */
 	public Future<Void> stop(long limitMillis) {
-		this.context.state().drain();
+		ShutdownSchedule schedule = ShutdownSchedule.starting(System.nanoTime(), BALANCER_NOTICE_MILLIS, limitMillis);
+		this.context.state().drain(schedule);
+		this.context.vertx()
+			.setTimer(Math.max(1, schedule.remainingMillis(System.nanoTime())),
+					(id) -> List.copyOf(this.exchanges).forEach(ForwardedExchange::processExits));
 		long noticeMillis = Math.min(BALANCER_NOTICE_MILLIS, limitMillis);
 		return this.context.vertx()
 			.timer(Math.max(1, noticeMillis), TimeUnit.MILLISECONDS)
@@ -309,6 +329,7 @@
 			if (!this.released) {
 				this.released = true;
 				FrontServer.this.inProgress--;
+				FrontServer.this.exchanges.remove(this.exchange);
 				FrontServer.this.bufferedBytes -= this.reservedBytes;
 			}
 		}
