Retire peer connections that are silent

Change: when a call times out and nothing has been received since it was sent, the connection gets no further calls, the next call opens a new one, and the old one is closed when its pending calls have ended.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/peer/PeerConnection.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/peer/PeerConnection.java
@@ -32,7 +32,9 @@
 
 /**
  * Connection to one peer for the calls of this node. It is opened by the first call and
- * closed when idle. Confined to the peer thread.
+ * closed when idle. A connection on which nothing has been received since a call that
+ * timed out may be silent for good: it gets no further calls and is closed when the
+ * pending ones have ended. Confined to the peer thread.
  */
 final class PeerConnection {
 
@@ -55,9 +57,14 @@
 
 	private Channel channel;
 
+	private long lastReceivedNanos;
+
+	private boolean retired;
+
 	private boolean closing;
 
 	PeerConnection(HostName host, Endpoint endpoint, Environment environment) {
+		this.lastReceivedNanos = System.nanoTime();
 		this.host = host;
 		this.endpoint = endpoint;
 		this.environment = environment;
@@ -133,6 +140,7 @@
 			return;
 		}
 		call.sent = true;
+		call.sentNanos = System.nanoTime();
 		this.channel.writeAndFlush(this.environment.codec().encode(call.message)).addListener((written) -> {
 			if (!written.isSuccess()) {
 				complete(call.message.getCallId(), new PeerReply.Lost("cannot write the message: " + written.cause()));
@@ -143,16 +151,29 @@
 	private void timeOut(long callId, long timeoutMillis) {
 		PendingCall call = this.pending.get(callId);
 		if (call != null) {
+			if (call.sent && this.lastReceivedNanos - call.sentNanos < 0) {
+				retire();
+			}
 			String reason = "no reply from " + this.host + " in " + timeoutMillis + " ms";
 			complete(callId, call.sent ? new PeerReply.Lost(reason) : new PeerReply.NotDelivered(reason));
 		}
 	}
 
+	private void retire() {
+		if (!this.retired) {
+			this.retired = true;
+			this.environment.closed(this.host, this);
+		}
+	}
+
 	private void complete(long callId, PeerReply reply) {
 		PendingCall call = this.pending.remove(callId);
 		if (call != null) {
 			call.timer.cancel(false);
 			call.completion.accept(reply);
+			if (this.retired && !this.closing && this.pending.isEmpty()) {
+				close();
+			}
 		}
 	}
 
@@ -250,6 +271,8 @@
 
 		private boolean sent;
 
+		private long sentNanos;
+
 		private PendingCall(PeerMessage message, Consumer<PeerReply> completion) {
 			this.message = message;
 			this.completion = completion;
@@ -264,6 +287,7 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
 			PeerConnection connection = PeerConnection.this;
+			connection.lastReceivedNanos = System.nanoTime();
 			connection.environment.codec()
 				.decodeMessage(frame, connection.endpoint)
 				.ifPresentOrElse((message) -> connection.handleReply(message, context.channel()), context::close);
