Abort an answer without end whose caller has gone

Change: ResponseRelay aborts an answer after 16 MB that nobody receives. The outcome of the call is then unknown, as after any broken answer.

Measured: ResponseRelayTests.answerWithoutEndIsAbortedAfterCallerHasGone failed without the change (64 MB accepted, relay not ended after 10 s), passes now. An answer without a length that is reset passed before too; the test stays.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/ResponseRelay.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/ResponseRelay.java
@@ -13,10 +13,13 @@
  * Streams the answer of a replica to the caller with backpressure, and buffers its body,
  * up to a maximum length, for the call record. The answer is read to its end even if the
  * caller has closed the connection, so that the outcome of a non-repeatable call is still
- * recorded.
+ * recorded; one that is too long then is aborted, because it may not end.
  */
 final class ResponseRelay {
 
+	/** Maximum length of the rest of an answer whose caller has gone, in bytes. */
+	private static final long MAX_UNDELIVERED_BYTES = 16L << 20;
+
 	private final HttpClientResponse from;
 
 	private final HttpServerResponse to;
@@ -27,6 +30,8 @@
 
 	private boolean omitted;
 
+	private long undeliveredBytes;
+
 	private ResponseRelay(HttpClientResponse from, HttpServerResponse to, int maxStoredBytes) {
 		this.from = from;
 		this.to = to;
@@ -57,7 +62,7 @@
 		if (!withoutBody && this.from.getHeader("content-length") == null) {
 			this.to.setChunked(true);
 		}
-		this.from.handler(this::receive);
+		this.from.handler((buffer) -> receive(buffer, promise));
 		this.from.exceptionHandler((cause) -> {
 			if (promise.tryFail(cause) && open()) {
 				// Resets the connection so that the caller detects the incomplete answer.
@@ -74,7 +79,7 @@
 		this.from.resume();
 	}
 
-	private void receive(Buffer buffer) {
+	private void receive(Buffer buffer, Promise<StoredAnswer> promise) {
 		if (!this.omitted && this.stored.length() + buffer.length() <= this.maxStoredBytes) {
 			this.stored.appendBuffer(buffer);
 		}
@@ -82,6 +87,10 @@
 			this.omitted = true;
 		}
 		if (!open()) {
+			this.undeliveredBytes += buffer.length();
+			if (this.undeliveredBytes > MAX_UNDELIVERED_BYTES && promise.tryFail("the answer does not end")) {
+				this.from.request().reset();
+			}
 			return;
 		}
 		this.to.write(buffer);
