Heed what servers announce about themselves in their responses

Change: ServerNotices (core) keeps both announcements by incarnation; ServerTable heeds them, whatever the list says. ServerCall reads them from every response and checks the server again immediately before it writes a request. If all servers of a service are paused, callers learn when the first one returns.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
@@ -11,14 +11,17 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.ServerName;
 
 /**
  * Tracks the backend servers that are eligible for requests, based on the platform's list
  * and on the responses of the servers. A server that has announced its shutdown remains
- * excluded until its next incarnation, regardless of the list. The same applies to a
- * server whose endpoint is listed for a server that was started later, because the entry
- * of a crashed server expires only after its successor has registered. Not thread-safe.
+ * excluded until its next incarnation, regardless of the list; one that has announced
+ * that it accepts no requests for some time is excluded for that time. A server whose
+ * endpoint is listed for a server that was started later is excluded as well, because the
+ * entry of a crashed server expires only after its successor has registered. Not
+ * thread-safe.
  * <p>
  * Entries may expire while the store of the list is unavailable. A server whose entry is
  * missing on the first read after an outage is kept for a grace period, because live
@@ -26,15 +29,21 @@
  */
 public final class ServerTable {
 
+	/** The current incarnation and the one before, whose entry may still be listed. */
+	private static final int INCARNATIONS_PER_SERVER = 2;
+
 	private final long graceNanos;
 
 	private final int maxServers;
 
 	private final Map<ServerName, State> states = new LinkedHashMap<>();
 
+	private final ServerNotices notices;
+
 	private ServerTable(long graceNanos, int maxServers) {
 		this.graceNanos = graceNanos;
 		this.maxServers = maxServers;
+		this.notices = new ServerNotices(INCARNATIONS_PER_SERVER * maxServers);
 	}
 
 	/**
@@ -145,39 +154,105 @@
 	 * Exclude a server that has announced its shutdown, or whose address belongs to
 	 * another server.
 	 * @param server the server as listed when the request was sent
-	 * @return true if the server was not excluded before
+	 * @return true if the server is listed and was not excluded before
 	 */
 	public boolean markLeaving(ListedServer server) {
 		State state = this.states.get(server.name());
-		if (state == null || state.excluded || !state.listed.sameIncarnation(server)) {
-			return false;
-		}
-		state.excluded = true;
-		return true;
+		boolean added = this.notices.leaving(server);
+		return added && state != null && !state.excluded && state.listed.sameIncarnation(server);
+	}
+
+	/**
+	 * Exclude a server that has announced that it accepts no requests of this router for
+	 * some time.
+	 * @param server the server as listed when the request was sent
+	 * @param millis the time, in milliseconds
+	 * @param nowNanos the monotonic time
+	 * @return true if the server was not excluded in this way before
+	 */
+	public boolean holdBack(ListedServer server, long millis, long nowNanos) {
+		return this.notices.holdBack(server, millis, nowNanos);
 	}
 
 	/**
 	 * Return the servers of a service that are eligible for requests.
 	 * @param service name of the service
+	 * @param nowNanos the monotonic time
 	 * @return the servers
 	 */
-	public List<ListedServer> usable(String service) {
-		return usable().filter((server) -> server.service().equals(service)).toList();
+	public List<ListedServer> usable(String service, long nowNanos) {
+		return present(service).filter((server) -> this.notices.heldBackMillis(server, nowNanos) == 0).toList();
+	}
+
+	/**
+	 * Return whether a server is still eligible for requests.
+	 * @param server the server as listed when it was chosen
+	 * @param nowNanos the monotonic time
+	 * @return false if it has left, is leaving, was restarted or accepts no requests
+	 */
+	public boolean isUsable(ListedServer server, long nowNanos) {
+		State state = this.states.get(server.name());
+		return state != null && state.listed.sameIncarnation(server) && present(state)
+				&& this.notices.heldBackMillis(server, nowNanos) == 0;
+	}
+
+	/**
+	 * Return the servers of a service that are not leaving, including those that accept
+	 * no requests for some time.
+	 * @param service name of the service
+	 * @return the servers
+	 */
+	public Stream<ListedServer> present(String service) {
+		return present().filter((server) -> server.service().equals(service));
+	}
+
+	/**
+	 * Return the time until the first of a service's servers accepts requests again.
+	 * @param service name of the service
+	 * @param nowNanos the monotonic time
+	 * @return the time in milliseconds, 0 if a server accepts requests or none will
+	 */
+	public long returnMillis(String service, long nowNanos) {
+		return present(service).mapToLong((server) -> this.notices.heldBackMillis(server, nowNanos)).min().orElse(0);
 	}
 
 	/**
 	 * Return the number of servers that are eligible for requests.
+	 * @param nowNanos the monotonic time
+	 * @return the number of servers of all services
+	 */
+	public int usableCount(long nowNanos) {
+		return (int) present().filter((server) -> this.notices.heldBackMillis(server, nowNanos) == 0).count();
+	}
+
+	/**
+	 * Return the number of servers that accept no requests for some time.
+	 * @param nowNanos the monotonic time
 	 * @return the number of servers of all services
 	 */
-	public int usableCount() {
-		return (int) usable().count();
+	public int heldBackCount(long nowNanos) {
+		return (int) present().filter((server) -> this.notices.heldBackMillis(server, nowNanos) > 0).count();
 	}
 
-	private Stream<ListedServer> usable() {
+	/**
+	 * Return the server that listens at an address.
+	 * @param endpoint the address
+	 * @return the server, empty if none is listed or it has been superseded
+	 */
+	public Optional<ListedServer> at(Endpoint endpoint) {
 		return this.states.values()
 			.stream()
-			.filter((state) -> !state.excluded && !state.listed.server().leaving())
-			.map((state) -> state.listed);
+			.filter((state) -> !state.excluded && state.listed.server().endpoint().equals(endpoint))
+			.map((state) -> state.listed)
+			.findFirst();
+	}
+
+	private Stream<ListedServer> present() {
+		return this.states.values().stream().filter(this::present).map((state) -> state.listed);
+	}
+
+	private boolean present(State state) {
+		return !state.excluded && !state.listed.server().leaving() && !this.notices.isLeaving(state.listed);
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
@@ -87,6 +87,14 @@
 	 */
 	boolean misdirected(int status);
 
+	/**
+	 * Read what a server announces about itself in a response.
+	 * @param status status of the response
+	 * @param headers headers of the response
+	 * @return the announcement
+	 */
+	ServerNotice notice(int status, MultiMap headers);
+
 	/**
 	 * Check whether a response is a valid response to a request.
 	 * @param status status of the response
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 
 import io.balsamlane.core.forwarding.EngineRates;
@@ -13,6 +14,7 @@
 import io.balsamlane.core.forwarding.SharedLoadPlacement;
 import io.balsamlane.core.forwarding.ShutdownSchedule;
 import io.balsamlane.core.forwarding.WindowedRetryBudget;
+import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.ServerName;
 import io.balsamlane.core.retry.ReplicaChooser;
 import org.apache.commons.rng.simple.RandomSource;
@@ -25,6 +27,9 @@
 
 	private static final int MAX_SERVERS = 4096;
 
+	/** Maximum random extension of the time for which a server accepts no requests. */
+	private static final long RETURN_SPREAD_MILLIS = 300;
+
 	/**
 	 * Minimum number of routers that share the retry budget: the smallest deployments
 	 * have seven routers plus spares.
@@ -170,6 +175,38 @@
 		}
 	}
 
+	/**
+	 * Record what a server has announced in a response.
+	 * @param server the server as listed when the request was sent
+	 * @param notice the announcement
+	 */
+	void noticeReceived(ListedServer server, ServerNotice notice) {
+		if (notice.leaving()) {
+			serverLeft(server, "it announced that it is leaving");
+		}
+		notice.ignored()
+			.ifPresent((reason) -> this.log.log("retry-after-ignored", "", "server", server.name(), "reason", reason));
+		if (notice.retryAfterMillis() > 0) {
+			// The servers of a service return one after the other.
+			long millis = notice.retryAfterMillis() + ThreadLocalRandom.current().nextLong(RETURN_SPREAD_MILLIS);
+			if (this.servers.holdBack(server, millis, System.nanoTime())) {
+				this.log.log("server-held-back", "", "server", server.name(), "service", server.service(),
+						"retry_after_millis", notice.retryAfterMillis(), "list_age_millis", serversAgeMillis());
+			}
+		}
+	}
+
+	/**
+	 * Record what the server at an address has announced in a response.
+	 * @param endpoint the address
+	 * @param notice the announcement
+	 */
+	public void noticeReceived(Endpoint endpoint, ServerNotice notice) {
+		if (notice.present()) {
+			this.servers.at(endpoint).ifPresent((server) -> noticeReceived(server, notice));
+		}
+	}
+
 	private void changed(ServerTable.Change change) {
 		ListedServer server = change.server();
 		this.log.log("server-" + change.kind(), "", "server", server.name(), "service", server.service(), "stage",
@@ -230,11 +267,52 @@
 	 * @return the servers
 	 */
 	public List<ListedServer> usable(String service) {
-		return this.servers.usable(service);
+		return this.servers.usable(service, System.nanoTime());
+	}
+
+	/**
+	 * Return the servers of a service that are not leaving, including those that accept
+	 * no requests for some time.
+	 * @param service name of the service
+	 * @return the servers
+	 */
+	public List<ListedServer> present(String service) {
+		return this.servers.present(service).toList();
+	}
+
+	/**
+	 * Return whether a server that was chosen earlier may still receive requests.
+	 * @param server the server
+	 * @return false if it has left, is leaving, was restarted or accepts no requests
+	 */
+	boolean isUsable(ListedServer server) {
+		return this.servers.isUsable(server, System.nanoTime());
+	}
+
+	/**
+	 * Return whether the server at an address accepts requests, as far as is known.
+	 * @param endpoint the address
+	 * @return false if the server listed there accepts none for some time
+	 */
+	public boolean acceptsRequests(Endpoint endpoint) {
+		return this.servers.at(endpoint).map(this::isUsable).orElse(true);
+	}
+
+	/**
+	 * Return the time until the first of a service's servers accepts requests again.
+	 * @param service name of the service
+	 * @return the time in milliseconds, 0 if it is not known
+	 */
+	long returnMillis(String service) {
+		return this.servers.returnMillis(service, System.nanoTime());
 	}
 
 	int usableCount() {
-		return this.servers.usableCount();
+		return this.servers.usableCount(System.nanoTime());
+	}
+
+	int heldBackCount() {
+		return this.servers.heldBackCount(System.nanoTime());
 	}
 
 	ReplicaChooser replicas() {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -111,6 +111,7 @@
 			.requestHandler(this::handleReadinessCheck);
 		this.context.metrics().gauge("requests_in_progress", () -> this.inProgress);
 		this.context.metrics().gauge("servers_usable", () -> this.context.state().usableCount());
+		this.context.metrics().gauge("servers_held_back", () -> this.context.state().heldBackCount());
 		this.context.metrics().gauge("waiting_streams", () -> this.context.waiting().size());
 		this.context.metrics().gauge("buffered_bytes", () -> this.bufferedBytes);
 		this.context.metrics().gauge("quarantine_entries", () -> this.context.crashGuard().quarantinedCount());
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
@@ -64,7 +64,8 @@
 			.choose(List.copyOf(usable.keySet()), this.tried, route().kind().repeatable(), nowNanos);
 		if (chosen.isEmpty()) {
 			refuse(ErrorKind.NO_SERVER,
-					usable.size() + " servers of " + service().name() + " are usable, all of them were tried", 0);
+					usable.size() + " servers of " + service().name() + " are usable, all of them were tried",
+					context().state().returnMillis(service().name()));
 			return;
 		}
 		this.server = usable.get(chosen.get());
@@ -131,7 +132,8 @@
 			attempt();
 		}
 		else if (step == NextStep.REFUSE) {
-			refuse(ErrorKind.SERVERS_FULL, "no server accepted the request", 0);
+			refuse(ErrorKind.SERVERS_FULL, "no server accepted the request",
+					context().state().returnMillis(service().name()));
 		}
 		else {
 			fail(ErrorKind.SERVER_BROKE, "the server sent no complete response");
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -70,6 +70,13 @@
 				this.outgoing.reset();
 				return;
 			}
+			// The server may have left or asked for a pause while the connection was
+			// opened.
+			if (!this.context.state().isUsable(this.server)) {
+				this.outgoing.reset();
+				fail(new AttemptOutcome.NotSent("the server has become unusable"));
+				return;
+			}
 			this.context.dialect()
 				.writeRequestHeaders(request.headers(), this.outgoing.headers(), this.server.name(), remainingMillis);
 			attemptHeaders.accept(this.outgoing.headers());
@@ -105,6 +112,8 @@
 			fail(new AttemptOutcome.Broken(defect.get()));
 			return;
 		}
+		this.context.state()
+			.noticeReceived(this.server, this.context.dialect().notice(response.statusCode(), response.headers()));
 		boolean identified = this.context.dialect().identified(response.headers(), requestId);
 		if (this.context.dialect().notRun(response.statusCode(), response.headers())) {
 			if (this.context.dialect().misdirected(response.statusCode())) {
