Choose the decode engine again if it has become unusable during the prefill

Cause: StreamExchange chose the decode engine together with the prefill engine and handed the prompt over to it whatever had happened since.

Change: at the hand-over the engine is checked. If it has left, is leaving, was restarted or asked for a pause, another decode engine with free capacity fetches the KV cache; without one the cache is freed and the stream is placed anew. A cache is not freed at an engine that may not receive requests. Streams that no engine can take tell the caller when the first paused one returns.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -140,6 +140,26 @@
 		return best.choice();
 	}
 
+	/**
+	 * Choose another decode engine for a prompt whose KV cache exists already.
+	 * @param engines the usable engines
+	 * @param limits capacity of the engines
+	 * @param metadata the request
+	 * @param prefill the engine that holds the KV cache
+	 * @param excluded engines not to use
+	 * @param maxUtilization share of an engine's KV cache that may be occupied
+	 * @param nowNanos the monotonic time
+	 * @return the engine with the shortest transfer, empty if none has free capacity
+	 */
+	public Optional<ListedServer> chooseDecode(Collection<ListedServer> engines, EngineLimits limits,
+			RequestMetadata metadata, ListedServer prefill, Set<ServerName> excluded, double maxUtilization,
+			long nowNanos) {
+		return candidates(engines, EngineStage.DECODE, excluded, nowNanos).stream()
+			.filter((engine) -> hasCapacity(engine, limits, metadata, maxUtilization, nowNanos))
+			.min(Comparator.comparingDouble((engine) -> transferMillis(prefill, engine, limits, metadata)
+					+ delayToRunningStreams(engine, metadata, nowNanos)));
+	}
+
 	private List<ListedServer> candidates(Collection<ListedServer> engines, EngineStage stage, Set<ServerName> excluded,
 			long nowNanos) {
 		List<ListedServer> ofStage = engines.stream()
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -177,22 +177,25 @@
 		}
 		if (choice instanceof EngineChoice.Disaggregated disaggregated) {
 			this.expectedMillis = disaggregated.firstEventMillis();
-			reserve(disaggregated.decode(), 0, fill, () -> prefill(disaggregated.prefill(), disaggregated.decode()));
+			reserve(disaggregated.decode(), 0, fill, () -> prefill(disaggregated.prefill(), disaggregated.decode()),
+					this::await);
 		}
 		else if (choice instanceof EngineChoice.Colocated colocated) {
 			this.expectedMillis = colocated.firstEventMillis();
-			reserve(colocated.decode(), metadata().promptTokens(), fill, () -> decode(colocated.decode(), null));
+			reserve(colocated.decode(), metadata().promptTokens(), fill, () -> decode(colocated.decode(), null),
+					this::await);
 		}
 		else if (choice instanceof EngineChoice.NoEngine noEngine) {
 			log("not-placed", "reason", noEngine.reason(), "usable", usable.size(), "excluded", this.excluded.size(),
 					"list_age_millis", context().state().serversAgeMillis());
-			refuse(ErrorKind.NO_ENGINE, noEngine.reason(), noEngine.retryAfterMillis());
+			refuse(ErrorKind.NO_ENGINE, noEngine.reason(),
+					Math.max(noEngine.retryAfterMillis(), context().state().returnMillis(service().name())));
 		}
 		return true;
 	}
 
 	// Reserves KV cache before the prefill, because its result expires quickly.
-	private void reserve(ListedServer engine, long pendingTokens, double fill, Runnable then) {
+	private void reserve(ListedServer engine, long pendingTokens, double fill, Runnable then, Runnable otherwise) {
 		SharedLoadPlacement.Assignment assignment = context().state()
 			.engines()
 			.assign(engine, pendingTokens, metadata().kvTokens());
@@ -208,7 +211,7 @@
 				else if (current) {
 					assignment.end();
 					this.decodeAssignment = null;
-					await();
+					otherwise.run();
 				}
 			});
 	}
@@ -256,10 +259,34 @@
 				endPrefill();
 				context().state().engines().recordSuccess(engine.name());
 				context().metrics().time("prefill", System.nanoTime() - this.attemptNanos);
-				decode(then, new KvCache(engine, handle.get()));
+				handOver(then, new KvCache(engine, handle.get()));
 			});
 	}
 
+	// The decode engine was chosen before the prefill and may have become unusable since.
+	private void handOver(ListedServer chosen, KvCache source) {
+		if (context().state().isUsable(chosen)) {
+			decode(chosen, source);
+			return;
+		}
+		endDecode();
+		Optional<ListedServer> other = context().state()
+			.engines()
+			.chooseDecode(context().state().usable(service().name()), engineLimits(), metadata(), source.engine(),
+					this.excluded, MAX_FILL, System.nanoTime());
+		log("decode-replaced", "server", chosen.name(), "by", other.map(ListedServer::name).orElse(null));
+		if (other.isPresent()) {
+			reserve(other.get(), 0, MAX_FILL, () -> decode(other.get(), source), () -> {
+				free(source);
+				await();
+			});
+		}
+		else {
+			free(source);
+			attempt();
+		}
+	}
+
 	// A prefill generates no output, so a request whose prefill failed has not run.
 	private void prefillFailed(ListedServer engine, AttemptOutcome outcome) {
 		cancelTimeout();
@@ -280,7 +307,7 @@
 			attempt();
 		}
 		else {
-			refuse(ErrorKind.SERVERS_FULL, "the prefill failed", 0);
+			refuse(ErrorKind.SERVERS_FULL, "the prefill failed", context().state().returnMillis(service().name()));
 		}
 	}
 
@@ -472,7 +499,8 @@
 			attempt();
 		}
 		else if (step == NextStep.REFUSE) {
-			refuse(ErrorKind.SERVERS_FULL, "no engine accepted the request", 0);
+			refuse(ErrorKind.SERVERS_FULL, "no engine accepted the request",
+					context().state().returnMillis(service().name()));
 		}
 		else {
 			fail(ErrorKind.SERVER_BROKE, "the engine interrupted the stream");
@@ -500,8 +528,15 @@
 
 	// Releases a KV cache that no decode engine has fetched.
 	private void free(KvCache unused) {
+		if (!context().state().isUsable(unused.engine())) {
+			// The cache expires by itself.
+			log("cache-not-freed", "server", unused.engine().name(), "reason", "the server is not usable");
+			return;
+		}
 		context().client()
 			.call(unused.engine(), HttpMethod.DELETE, context().dialect().handlePath(unused.handle()))
+			.onSuccess((response) -> context().state()
+				.noticeReceived(unused.engine(), context().dialect().notice(response.status(), response.headers())))
 			.onFailure(
 					(cause) -> log("cache-not-freed", "server", unused.engine().name(), "reason", cause.getMessage()));
 	}
