End each bounded call at its time limit, whatever its pool does

Cause, from its log: the pool of store connections was replaced twice while calls waited for a connection. Closing the old pool threw "Promise already completed" (SimpleConnectionPool.close of Vert.x), which left the remaining waiting calls without a result, so the watcher of the configuration waited for good. Before RenewableHttpClient the time limit covered the whole call; BoundedHttpClient had left the wait for a connection to the pool.

Change: BoundedHttpClient limits that wait itself, to 1 s at most. A connection that comes later is not used.

Measured: BoundedHttpClientTests.callEndsAtItsTimeLimitIfThePoolNeverAnswers, new.

--- a/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/ExperimentRegistry.java
@@ -29,6 +29,7 @@
 		registry.add("waste", GoodputExperiment::createWithCancels);
 		registry.add("swing", SwingExperiment::create);
 		registry.add("stragglers", StragglersExperiment::create);
+		registry.add("pauses", PauseExperiment::create);
 		registry.add("recovery", RecoveryExperiment::create);
 		registry.add("slopes", SlopesExperiment::create);
 		registry.add("decision", (options) -> DecisionExperiment.create(options.seed(), options.out())::run);
--- /dev/null
+++ b/balsamlane-bench/src/main/java/io/balsamlane/bench/pauses/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Model of a plain service whose servers ask for pauses.
+ */
+package io.balsamlane.bench.pauses;
--- /dev/null
+++ b/balsamlane-bench/src/test/java/io/balsamlane/bench/pauses/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the model of servers that ask for pauses.
+ */
+package io.balsamlane.bench.pauses;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/BoundedHttpClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/BoundedHttpClient.java
@@ -19,6 +19,9 @@
 
 	private static final long NANOS_PER_MILLI = 1_000_000;
 
+	/** Maximum time to wait for a connection, whatever the time limit of the call. */
+	private static final long MAX_OPEN_MILLIS = 1000;
+
 	private final HttpClient client;
 
 	private final int maxBodyBytes;
@@ -55,11 +58,20 @@
 	 * Create a request. If the future fails, no part of the request has been sent, and
 	 * none will be.
 	 * @param options address, method, path and headers
-	 * @param timeoutMillis maximum time to wait for a connection, in milliseconds
+	 * @param timeoutMillis time limit of the call, in milliseconds
 	 * @return the request, not yet sent
 	 */
 	public Future<HttpClientRequest> open(RequestOptions options, long timeoutMillis) {
-		return this.client.request(options.setConnectTimeout(timeoutMillis));
+		long limitMillis = Math.min(timeoutMillis, MAX_OPEN_MILLIS);
+		Future<HttpClientRequest> opening = this.client.request(options.setConnectTimeout(limitMillis));
+		// A pool that is closed may leave requests without a result.
+		Future<HttpClientRequest> opened = opening.timeout(limitMillis, TimeUnit.MILLISECONDS);
+		opening.onSuccess((request) -> {
+			if (opened.failed()) {
+				request.reset();
+			}
+		});
+		return opened;
 	}
 
 	/**
--- a/balsamlane-router/src/test/java/io/balsamlane/router/http/BoundedHttpClientTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/http/BoundedHttpClientTests.java
@@ -1,14 +1,18 @@
 package io.balsamlane.router.http;
 
+import java.lang.reflect.Proxy;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
@@ -91,4 +95,20 @@
 		assertThat(this.received).extracting(HttpServerRequest::path).containsExactly("/held", "/2");
 	}
 
+	// Guards against a watcher that waits forever on a call whose pool has been closed.
+	@Test
+	void callEndsAtItsTimeLimitIfThePoolNeverAnswers() throws Exception {
+		Promise<HttpClientRequest> opening = Promise.promise();
+		HttpClient silent = (HttpClient) Proxy.newProxyInstance(getClass().getClassLoader(),
+				new Class<?>[] { HttpClient.class }, (proxy, method, arguments) -> opening.future());
+		this.client = BoundedHttpClient.of(silent, MAX_BODY_BYTES);
+		assertThatExceptionOfType(ExecutionException.class).isThrownBy(() -> await(call("/1", 200)))
+			.withCauseInstanceOf(TimeoutException.class);
+		HttpClientRequest late = await(
+				this.vertx.createHttpClient().request(HttpMethod.GET, this.server.actualPort(), "127.0.0.1", "/late"));
+		opening.complete(late);
+		assertThatExceptionOfType(ExecutionException.class).isThrownBy(() -> await(late.send()));
+		assertThat(this.received).isEmpty();
+	}
+
 }
