--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/HttpEngineClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/HttpEngineClient.java
@@ -28,10 +28,7 @@
 
 	private static final int CONTROL_TIMEOUT_MILLIS = 1000;
 
-	/**
-	 * Maximum size of a response that is not a stream; a list of 4,096 running attempts
-	 * takes 400 KB.
-	 */
+	/** Maximum size of a response that is not a stream, such as a list of attempts. */
 	static final int MAX_RESPONSE_BYTES = 1 << 20;
 
 	private final EngineConnectionPools pools;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
@@ -29,7 +29,7 @@
 
 	private static final Logger logger = System.getLogger(HostListReader.class.getName());
 
-	/** Maximum size of the list; 2,000 hosts take 500 KB. */
+	/** Maximum size of the list. */
 	private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
 	private static final int MIN_TIMEOUT_MILLIS = 1000;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/orders/HttpEngineOrderClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/orders/HttpEngineOrderClient.java
@@ -29,7 +29,7 @@
 
 	private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
-	/** Maximum size of a response; the state of an engine takes a few hundred bytes. */
+	/** Maximum size of a response. */
 	private static final int MAX_RESPONSE_BYTES = 64 << 10;
 
 	private final BoundedHttpClient client;
