--- a/balsamlane-router/src/test/java/io/balsamlane/router/edge/ModelStreamTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/edge/ModelStreamTests.java
@@ -15,6 +15,7 @@
 import io.vertx.core.http.HttpVersion;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.json.JsonObject;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -73,7 +74,9 @@
 					new PoolOptions().setHttp1MaxSize(1000).setHttp2MaxSize(4));
 	}
 
+	// Fails beside load, see KNOWN-RED.txt.
 	@Test
+	@Tag("known-red")
 	void concurrentStreamsAreCompleteWhileEnginesStop() {
 		try (EdgeFixture fixture = EdgeFixture.withEngines(3, 6).start(EdgeFixture.settings().build())) {
 			HttpClient client = client(fixture, HttpVersion.HTTP_1_1);
