Log and count responses that cannot be attributed to their request

The logs could not tell a response without an id from one that carries the id of another request, nor show that a server sends one between two requests. Change: ResponseCorrelation creates clients whose connections report such responses with the reason, both ids and the number of requests that the connection has carried; the router logs 'response-unmatched' and counts responses_unmatched_total. Nothing is handled differently.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
@@ -14,6 +14,13 @@
  */
 public interface ForwardingDialect {
 
+	/**
+	 * Return the name of the header that carries the id of a request, and which servers
+	 * echo in their responses.
+	 * @return the name
+	 */
+	String requestIdHeader();
+
 	/**
 	 * Read the metadata that a caller declares.
 	 * @param headers headers of the request
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerClient.java
@@ -3,6 +3,7 @@
 import io.balsamlane.core.forwarding.ListedServer;
 import io.balsamlane.router.http.BoundedHttpClient;
 import io.balsamlane.router.http.ReceivedResponse;
+import io.balsamlane.router.http.ResponseCorrelation;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -32,12 +33,12 @@
 
 	private final BoundedHttpClient calls;
 
-	ServerClient(Vertx vertx, ForwardingLimits limits) {
+	ServerClient(Vertx vertx, ForwardingLimits limits, ResponseCorrelation correlation) {
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(limits.connectTimeoutMillis())
 			.setKeepAliveTimeout(limits.keepAliveSeconds())
 			.setTcpNoDelay(true)
 			.setMaxHeaderSize(16384);
-		this.client = vertx.createHttpClient(options,
+		this.client = correlation.createClient(vertx, options,
 				new PoolOptions().setHttp1MaxSize(limits.maxConnections()).setMaxWaitQueueSize(0));
 		this.calls = BoundedHttpClient.of(this.client, MAX_CALL_RESPONSE_BYTES);
 	}
