Attribute responses to their requests by id before the HTTP client does

What callers saw: a success that was not the response to their request, from a backend server that had responded to an earlier request twice; a prefill could also get the handle of another request, and requests that may not be repeated ended with 502 although their own response arrived. Cause: Vert.x matches responses to requests by their order on a connection. The router compared ids only after that, only if the response carried one, and not for its own calls, which shared the connections of callers' requests. Class of fault: matching by position on a channel whose other end may add messages. Change: ResponseCorrelation attributes each response on a connection before Vert.x sees it. One with another id is discarded and the request waits for its own; one without an id is accepted only as the first on its connection, which is then closed; bytes between two requests close the connection. Freed handles, to which no id is echoed, use a connection each. Informational responses that Vert.x would take for final ones are dropped. Conclusion: on these paths no response can reach a request whose id it does not carry, except as the first response of a connection.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
@@ -111,14 +111,6 @@
 	 */
 	Optional<String> defect(int status, MultiMap headers, String requestId);
 
-	/**
-	 * Return whether a response states to which request it belongs.
-	 * @param headers headers of the response
-	 * @param requestId id of the request
-	 * @return true if it carries the id of the request
-	 */
-	boolean identified(MultiMap headers, String requestId);
-
 	/**
 	 * Return whether a response comes from a backend server.
 	 * @param headers headers of the response
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -18,7 +18,6 @@
 import io.balsamlane.router.edge.ErrorKind;
 import io.balsamlane.router.edge.Ran;
 import io.balsamlane.router.edge.Refusal;
-import io.balsamlane.router.http.ResponseCorrelation;
 import io.balsamlane.router.http.ResponseMemory;
 import io.balsamlane.router.http.UnmatchedResponse;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
@@ -88,8 +87,8 @@
 			ForwardingMetrics metrics, CrashGuard crashGuard, EngineReservations reservations, String readyPath) {
 		ForwardingLimits limits = ForwardingLimits.defaults();
 		state.setTerminationListener(crashGuard::serverTerminated);
-		ServerClient client = new ServerClient(vertx, limits, ResponseCorrelation.of(dialect.requestIdHeader(),
-				(response) -> recordUnmatched(response, log, metrics)));
+		ServerClient client = new ServerClient(vertx, limits, dialect.requestIdHeader(),
+				(response) -> recordUnmatched(response, log, metrics));
 		return new FrontServer(new ForwardingContext(vertx, dialect, state, client, limits, log, metrics,
 				new WaitingStreams(vertx), crashGuard, reservations, ResponseMemory.ofSize(limits.maxBufferedBytes())),
 				readyPath);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -100,8 +100,6 @@
 		});
 	}
 
-	// A copy of a response that carries no id could be taken for the response to the next
-	// request, so its connection is not used again.
 	private void headReceived(HttpClientResponse response, String requestId) {
 		if (this.ended) {
 			return;
@@ -114,23 +112,14 @@
 		}
 		this.context.state()
 			.noticeReceived(this.server, this.context.dialect().notice(response.statusCode(), response.headers()));
-		boolean identified = this.context.dialect().identified(response.headers(), requestId);
 		if (this.context.dialect().notRun(response.statusCode(), response.headers())) {
 			if (this.context.dialect().misdirected(response.statusCode())) {
 				this.context.state().serverLeft(this.server, "its address belongs to another server");
 			}
-			if (identified) {
-				ResponseBodyReader.drain(response, MAX_REFUSAL_BYTES, REFUSAL_TIMEOUT_MILLIS);
-			}
-			else {
-				this.outgoing.reset();
-			}
+			ResponseBodyReader.drain(response, MAX_REFUSAL_BYTES, REFUSAL_TIMEOUT_MILLIS);
 			fail(new AttemptOutcome.NotRun(response.statusCode()));
 			return;
 		}
-		if (!identified) {
-			response.end().onComplete((ended) -> this.outgoing.connection().close());
-		}
 		this.ended = true;
 		this.responseListener.accept(response);
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerClient.java
@@ -1,9 +1,12 @@
 package io.balsamlane.router.forwarding;
 
+import java.util.function.Consumer;
+
 import io.balsamlane.core.forwarding.ListedServer;
 import io.balsamlane.router.http.BoundedHttpClient;
 import io.balsamlane.router.http.ReceivedResponse;
 import io.balsamlane.router.http.ResponseCorrelation;
+import io.balsamlane.router.http.UnmatchedResponse;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -15,8 +18,9 @@
 import io.vertx.core.http.RequestOptions;
 
 /**
- * HTTP client for backend servers, with a pool of keep-alive connections that the
- * requests of callers and this router's own calls share.
+ * HTTP client for backend servers, with a pool of keep-alive connections for the requests
+ * of callers. Calls of this router's own, to which servers echo no id, use a connection
+ * each.
  */
 final class ServerClient {
 
@@ -29,18 +33,25 @@
 	/** Maximum size of the response to a call of this router's own. */
 	private static final int MAX_CALL_RESPONSE_BYTES = 16 << 10;
 
+	/** Maximum number of simultaneous calls of this router's own to one server. */
+	private static final int MAX_CALLS = 8;
+
 	private final HttpClient client;
 
 	private final BoundedHttpClient calls;
 
-	ServerClient(Vertx vertx, ForwardingLimits limits, ResponseCorrelation correlation) {
+	ServerClient(Vertx vertx, ForwardingLimits limits, String idHeader, Consumer<UnmatchedResponse> unmatched) {
 		HttpClientOptions options = new HttpClientOptions().setConnectTimeout(limits.connectTimeoutMillis())
 			.setKeepAliveTimeout(limits.keepAliveSeconds())
 			.setTcpNoDelay(true)
 			.setMaxHeaderSize(16384);
-		this.client = correlation.createClient(vertx, options,
-				new PoolOptions().setHttp1MaxSize(limits.maxConnections()).setMaxWaitQueueSize(0));
-		this.calls = BoundedHttpClient.of(this.client, MAX_CALL_RESPONSE_BYTES);
+		this.client = ResponseCorrelation.of(idHeader, unmatched)
+			.createClient(vertx, options,
+					new PoolOptions().setHttp1MaxSize(limits.maxConnections()).setMaxWaitQueueSize(0));
+		this.calls = BoundedHttpClient.of(
+				ResponseCorrelation.withoutIds(unmatched)
+					.createClient(vertx, options, new PoolOptions().setHttp1MaxSize(MAX_CALLS)),
+				MAX_CALL_RESPONSE_BYTES);
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
@@ -1,5 +1,8 @@
 package io.balsamlane.router.http;
 
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import io.netty.channel.ChannelPipeline;
@@ -11,30 +14,49 @@
 import io.vertx.core.net.impl.ConnectionBase;
 
 /**
- * Creates HTTP clients that attribute each response on a kept connection to its request
- * by an id which the request carries in a header and the server echoes.
+ * Creates HTTP clients that attribute each response to its request. A faulty server may
+ * respond to a request a second time, when its connection carries the next one.
+ * <p>
+ * A request carries an id in a header, and the server echoes it. A response with another
+ * id is discarded, and the request goes on waiting for its own. A response without an id
+ * is accepted as the first one on its connection, which is not used again; later ones are
+ * discarded. A connection on which bytes arrive between two requests is closed.
  */
 public final class ResponseCorrelation {
 
 	private static final String HTTP_CODEC = "codec";
 
-	private final String idHeader;
+	private final Optional<String> idHeader;
 
 	private final Consumer<UnmatchedResponse> listener;
 
-	private ResponseCorrelation(String idHeader, Consumer<UnmatchedResponse> listener) {
+	private final String idPrefix = Long.toHexString(ThreadLocalRandom.current().nextLong()) + "-";
+
+	private final AtomicLong ids = new AtomicLong();
+
+	private ResponseCorrelation(Optional<String> idHeader, Consumer<UnmatchedResponse> listener) {
 		this.idHeader = idHeader;
 		this.listener = listener;
 	}
 
 	/**
-	 * Create a correlation.
+	 * Create a correlation by a header. Requests that lack it receive an id.
 	 * @param idHeader name of the header that carries the id of a request
 	 * @param listener notified of each response that cannot be attributed
 	 * @return the correlation
 	 */
 	public static ResponseCorrelation of(String idHeader, Consumer<UnmatchedResponse> listener) {
-		return new ResponseCorrelation(idHeader, listener);
+		return new ResponseCorrelation(Optional.of(idHeader), listener);
+	}
+
+	/**
+	 * Create a correlation for servers that echo no id. Each connection carries one
+	 * request.
+	 * @param listener notified of each response that cannot be attributed
+	 * @return the correlation
+	 */
+	public static ResponseCorrelation withoutIds(Consumer<UnmatchedResponse> listener) {
+		return new ResponseCorrelation(Optional.empty(), listener);
 	}
 
 	/**
@@ -52,7 +74,10 @@
 	// them before that.
 	private void install(HttpConnection connection) {
 		ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
-		pipeline.addAfter(HTTP_CODEC, "correlation", new ResponseCorrelationHandler(this.idHeader, this.listener));
+		ResponseCorrelationHandler handler = new ResponseCorrelationHandler(this.idHeader,
+				() -> this.idPrefix + this.ids.incrementAndGet(), this.listener);
+		pipeline.addBefore(HTTP_CODEC, "idle-guard", handler.idleGuard());
+		pipeline.addAfter(HTTP_CODEC, "correlation", handler);
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
@@ -1,24 +1,52 @@
 package io.balsamlane.router.http;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Attributes the responses on one HTTP/1.1 connection, which carries one request at a
- * time, to its requests.
+ * time, to its requests, and discards those that belong to no request in progress.
  */
 final class ResponseCorrelationHandler extends ChannelDuplexHandler {
 
-	private final String idHeader;
+	/** Maximum size of a discarded response. */
+	private static final int MAX_DISCARDED_BYTES = 1 << 20;
+
+	/**
+	 * Time that a request waits for its own response after one without an id: a few times
+	 * the latency target of plain calls.
+	 */
+	private static final long UNIDENTIFIED_WAIT_MILLIS = 1000;
+
+	/** The informational responses that Vert.x does not take for final ones. */
+	private static final Set<Integer> PASSED_ON = Set.of(HttpResponseStatus.CONTINUE.code(),
+			HttpResponseStatus.EARLY_HINTS.code());
+
+	private final Optional<String> idHeader;
+
+	private final Supplier<String> ids;
 
 	private final Consumer<UnmatchedResponse> listener;
 
@@ -26,55 +54,172 @@
 
 	private boolean requestInProgress;
 
-	private Optional<String> expectedId = Optional.empty();
+	private boolean headRequestSent;
+
+	private List<String> expectedIds = List.of();
 
 	private boolean finalResponse;
 
-	ResponseCorrelationHandler(String idHeader, Consumer<UnmatchedResponse> listener) {
+	private boolean attributed;
+
+	/** Whether the server has sent a response that was not attributed. */
+	private boolean unmatched;
+
+	private boolean discarding;
+
+	private long discardedBytes;
+
+	ResponseCorrelationHandler(Optional<String> idHeader, Supplier<String> ids, Consumer<UnmatchedResponse> listener) {
 		this.idHeader = idHeader;
+		this.ids = ids;
 		this.listener = listener;
 	}
 
+	/**
+	 * Return a handler for the bytes of the connection, ahead of the HTTP codec, which
+	 * closes the connection if any arrive between two requests.
+	 * @return the handler
+	 */
+	ChannelInboundHandlerAdapter idleGuard() {
+		return new ChannelInboundHandlerAdapter() {
+			@Override
+			public void channelRead(ChannelHandlerContext context, Object bytes) {
+				if (ResponseCorrelationHandler.this.requestInProgress) {
+					context.fireChannelRead(bytes);
+					return;
+				}
+				ReferenceCountUtil.release(bytes);
+				closeUnsolicited(context, 0, Optional.empty());
+			}
+		};
+	}
+
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
 		if (message instanceof HttpRequest request) {
 			this.requests++;
 			this.requestInProgress = true;
-			this.expectedId = Optional.ofNullable(request.headers().get(this.idHeader));
+			this.attributed = false;
+			this.headRequestSent |= request.method().equals(HttpMethod.HEAD);
+			this.expectedIds = this.idHeader.map((header) -> idsOf(request, header)).orElse(List.of());
 		}
 		context.write(message, promise);
 	}
 
+	// A caller may send several ids; a server may echo any of them.
+	private List<String> idsOf(HttpRequest request, String header) {
+		if (!request.headers().contains(header)) {
+			request.headers().set(header, this.ids.get());
+		}
+		return request.headers().getAll(header);
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
-			this.finalResponse = response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
-			unmatchedReason(response).ifPresent((reason) -> this.listener.accept(new UnmatchedResponse(
-					String.valueOf(context.channel().remoteAddress()), reason, response.status().code(),
-					this.expectedId, receivedIds(response).stream().findFirst(), this.requests)));
+			headReceived(context, response);
+		}
+		if (this.discarding) {
+			discard(context, (HttpObject) message);
+			return;
 		}
 		if (message instanceof LastHttpContent && this.finalResponse) {
 			this.requestInProgress = false;
-			this.expectedId = Optional.empty();
 		}
 		context.fireChannelRead(message);
 	}
 
-	private Optional<UnmatchedResponse.Reason> unmatchedReason(HttpResponse response) {
+	private void headReceived(ChannelHandlerContext context, HttpResponse response) {
+		List<String> received = this.idHeader.map((header) -> response.headers().getAll(header)).orElse(List.of());
 		if (!this.requestInProgress) {
-			return Optional.of(UnmatchedResponse.Reason.UNSOLICITED);
+			this.discarding = true;
+			closeUnsolicited(context, response.status().code(), received.stream().findFirst());
+			return;
+		}
+		this.finalResponse = response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
+		if (!this.finalResponse) {
+			this.discarding = !PASSED_ON.contains(response.status().code());
+			return;
+		}
+		Optional<UnmatchedResponse.Reason> reason = unmatchedReason(received);
+		if (reason.isPresent()) {
+			report(context, reason.get(), response.status().code(), received.stream().findFirst());
+			discardResponse(context, response, reason.get());
+			return;
 		}
-		List<String> ids = receivedIds(response);
-		if (ids.isEmpty()) {
-			return (this.finalResponse && this.requests > 1) ? Optional.of(UnmatchedResponse.Reason.UNIDENTIFIED)
+		this.attributed = true;
+		if (received.isEmpty() || this.unmatched) {
+			closeAfter(response);
+		}
+	}
+
+	// Without an id, only the first response on a connection belongs to a known request.
+	private Optional<UnmatchedResponse.Reason> unmatchedReason(List<String> received) {
+		if (received.isEmpty()) {
+			return (this.requests > 1 || this.unmatched) ? Optional.of(UnmatchedResponse.Reason.UNIDENTIFIED)
 					: Optional.empty();
 		}
-		return ids.stream().allMatch((id) -> this.expectedId.equals(Optional.of(id))) ? Optional.empty()
+		return this.expectedIds.containsAll(received) ? Optional.empty()
 				: Optional.of(UnmatchedResponse.Reason.OTHER_REQUEST);
 	}
 
-	private List<String> receivedIds(HttpResponse response) {
-		return response.headers().getAll(this.idHeader);
+	private void discardResponse(ChannelHandlerContext context, HttpResponse response,
+			UnmatchedResponse.Reason reason) {
+		this.unmatched = true;
+		this.discarding = true;
+		this.discardedBytes = 0;
+		// The end of such a response cannot be told from the response that follows it.
+		if (!isSelfDelimited(response) || this.headRequestSent) {
+			context.close();
+		}
+		else if (reason == UnmatchedResponse.Reason.UNIDENTIFIED) {
+			int request = this.requests;
+			context.executor().schedule(() -> {
+				if (this.requestInProgress && this.requests == request && !this.attributed) {
+					context.close();
+				}
+			}, UNIDENTIFIED_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private static boolean isSelfDelimited(HttpResponse response) {
+		int status = response.status().code();
+		return status == 204 || status == 304 || HttpUtil.isTransferEncodingChunked(response)
+				|| HttpUtil.isContentLengthSet(response);
+	}
+
+	private void discard(ChannelHandlerContext context, HttpObject message) {
+		if (message instanceof HttpContent content) {
+			this.discardedBytes += content.content().readableBytes();
+			if (this.discardedBytes > MAX_DISCARDED_BYTES || message.decoderResult().isFailure()) {
+				context.close();
+			}
+			this.discarding = !(message instanceof LastHttpContent);
+		}
+		ReferenceCountUtil.release(message);
+	}
+
+	// Vert.x closes the connection at the end of the response, before it could be used
+	// for
+	// another request.
+	private static void closeAfter(HttpResponse response) {
+		List<String> options = new ArrayList<>(List.of(HttpHeaderValues.CLOSE.toString()));
+		options.addAll(response.headers().getAll(HttpHeaderNames.CONNECTION));
+		response.headers().set(HttpHeaderNames.CONNECTION, options);
+	}
+
+	private void closeUnsolicited(ChannelHandlerContext context, int status, Optional<String> receivedId) {
+		if (context.channel().isOpen()) {
+			report(context, UnmatchedResponse.Reason.UNSOLICITED, status, receivedId);
+			context.close();
+		}
+	}
+
+	private void report(ChannelHandlerContext context, UnmatchedResponse.Reason reason, int status,
+			Optional<String> receivedId) {
+		this.listener.accept(new UnmatchedResponse(String.valueOf(context.channel().remoteAddress()), reason, status,
+				this.requestInProgress ? this.expectedIds.stream().findFirst() : Optional.empty(), receivedId,
+				this.requests));
 	}
 
 }
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/http/ResponseCorrelationHandlerTests.java
@@ -0,0 +1,242 @@
+package io.balsamlane.router.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.balsamlane.router.http.UnmatchedResponse.Reason;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against responses that are attributed to a request which they do not belong to,
+ * and against requests whose own response is discarded.
+ */
+class ResponseCorrelationHandlerTests {
+
+	private static final String OWN = response("200 OK", "Id: b\r\n", "own");
+
+	private final List<UnmatchedResponse> unmatched = new ArrayList<>();
+
+	private final EmbeddedChannel channel = channel(Optional.of("Id"));
+
+	private int ids;
+
+	private EmbeddedChannel channel(Optional<String> header) {
+		ResponseCorrelationHandler handler = new ResponseCorrelationHandler(header, () -> "generated-" + ++this.ids,
+				this.unmatched::add);
+		return new EmbeddedChannel(handler.idleGuard(), new HttpClientCodec(), handler);
+	}
+
+	@AfterEach
+	void close() {
+		this.channel.finishAndReleaseAll();
+	}
+
+	private static String response(String status, String headers, String content) {
+		return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + content.length() + "\r\n\r\n" + content;
+	}
+
+	private void send(HttpMethod method, String id) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/");
+		if (!id.isEmpty()) {
+			request.headers().set("Id", id);
+		}
+		this.channel.writeOutbound(request);
+	}
+
+	private void receive(String text) {
+		this.channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+	}
+
+	/** Return the contents of all responses that were passed on, each with its status. */
+	private List<String> passedOn() {
+		List<String> responses = new ArrayList<>();
+		for (Object message = this.channel.readInbound(); message != null; message = this.channel.readInbound()) {
+			if (message instanceof HttpResponse response) {
+				responses.add(response.status().code() + " ");
+			}
+			if (message instanceof HttpContent content && content.content().isReadable()) {
+				int last = responses.size() - 1;
+				responses.set(last, responses.get(last) + content.content().toString(StandardCharsets.ISO_8859_1));
+			}
+			ReferenceCountUtil.release(message);
+		}
+		return responses;
+	}
+
+	private void exchange() {
+		send(HttpMethod.GET, "a");
+		receive(response("200 OK", "Id: a\r\n", "first"));
+		assertThat(passedOn()).containsExactly("200 first");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "Id: a\r\n", "Id: b\r\nId: a\r\n", "" })
+	void lateSecondResponseIsDiscardedAndOwnResponsePassedOn(String idLines) {
+		exchange();
+		send(HttpMethod.POST, "b");
+		receive(response("200 OK", idLines, "second"));
+		receive(response("503 No", idLines, "third"));
+		assertThat(passedOn()).isEmpty();
+		receive(OWN);
+		assertThat(passedOn()).containsExactly("200 own");
+		assertThat(this.unmatched).extracting(UnmatchedResponse::reason)
+			.containsOnly(idLines.isEmpty() ? Reason.UNIDENTIFIED : Reason.OTHER_REQUEST)
+			.hasSize(2);
+	}
+
+	@Test
+	void connectionIsNotUsedAgainAfterLateSecondResponse() {
+		exchange();
+		send(HttpMethod.GET, "b");
+		receive(response("200 OK", "Id: a\r\n", "second"));
+		receive(response("200 OK", "Id: b\r\nConnection: X-Hop\r\n", "own"));
+		HttpResponse response = this.channel.readInbound();
+		assertThat(response.headers().getAll("Connection")).containsExactly("close", "X-Hop");
+	}
+
+	@Test
+	void connectionOfServerThatEchoesIdsIsKept() {
+		for (String id : new String[] { "a", "b", "c" }) {
+			send(HttpMethod.GET, id);
+			receive("HTTP/1.1 100 Continue\r\n\r\n" + response("200 OK", "Id: " + id + "\r\n", id));
+			HttpResponse informational = this.channel.readInbound();
+			assertThat(informational.status().code()).isEqualTo(100);
+			ReferenceCountUtil.release(this.channel.readInbound());
+			HttpResponse response = this.channel.readInbound();
+			assertThat(response.headers().contains("Connection")).isFalse();
+			ReferenceCountUtil.release(this.channel.readInbound());
+			assertThat(passedOn()).isEmpty();
+		}
+		assertThat(this.channel.isOpen()).isTrue();
+		assertThat(this.unmatched).isEmpty();
+	}
+
+	@Test
+	void responseWithoutIdIsAcceptedOnlyAsFirstOfItsConnection() {
+		send(HttpMethod.GET, "a");
+		receive(response("200 OK", "", "first"));
+		HttpResponse response = this.channel.readInbound();
+		assertThat(response.headers().getAll("Connection")).containsExactly("close");
+		assertThat(this.unmatched).isEmpty();
+	}
+
+	@Test
+	void requestWithoutIdReceivesOne() {
+		send(HttpMethod.GET, "");
+		receive(response("200 OK", "Id: generated-1\r\n", "first"));
+		assertThat(passedOn()).containsExactly("200 first");
+		send(HttpMethod.GET, "");
+		receive(response("200 OK", "Id: generated-1\r\n", "second"));
+		assertThat(passedOn()).isEmpty();
+		receive(response("200 OK", "Id: generated-2\r\n", "own"));
+		assertThat(passedOn()).containsExactly("200 own");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "H", "HTTP/1.1 200 OK\r\nId: a\r\n", "HTTP/1.1 100 Continue\r\n\r\n" })
+	void bytesBetweenTwoRequestsCloseTheConnection(String bytes) {
+		exchange();
+		receive(bytes);
+		assertThat(this.channel.isOpen()).isFalse();
+		assertThat(this.unmatched).extracting(UnmatchedResponse::reason).containsExactly(Reason.UNSOLICITED);
+	}
+
+	@Test
+	void secondResponseInTheSameReadClosesTheConnectionAfterTheFirst() {
+		send(HttpMethod.GET, "a");
+		receive(response("200 OK", "Id: a\r\n", "first") + response("200 OK", "Id: a\r\n", "second"));
+		assertThat(passedOn()).containsExactly("200 first");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	// The bytes of such a response cannot be told from those of the next.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void undelimitedSecondResponseClosesTheConnection(boolean head) {
+		send(head ? HttpMethod.HEAD : HttpMethod.GET, "a");
+		receive(head ? "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\n"
+				: response("200 OK", "Id: a\r\n", "first"));
+		passedOn();
+		send(HttpMethod.GET, "b");
+		receive(head ? "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\n"
+				: "HTTP/1.1 200 OK\r\nId: a\r\n\r\nsecond");
+		assertThat(passedOn()).isEmpty();
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	@Test
+	void secondResponseWithoutEndClosesTheConnection() {
+		exchange();
+		send(HttpMethod.GET, "b");
+		receive("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 999999999\r\n\r\n");
+		for (int block = 0; block < 20 && this.channel.isOpen(); block++) {
+			receive("x".repeat(1 << 16));
+		}
+		assertThat(this.channel.isOpen()).isFalse();
+		assertThat(passedOn()).isEmpty();
+	}
+
+	// A server that echoes ids only sometimes must not hold requests until their
+	// deadline.
+	@Test
+	void waitAfterResponseWithoutIdIsLimited() {
+		this.channel.freezeTime();
+		exchange();
+		send(HttpMethod.GET, "b");
+		receive(response("200 OK", "", "second"));
+		this.channel.advanceTimeBy(900, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+		assertThat(this.channel.isOpen()).isTrue();
+		this.channel.advanceTimeBy(200, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	@Test
+	void ownResponseInProgressIsNotCutByTheLimitedWait() {
+		this.channel.freezeTime();
+		exchange();
+		send(HttpMethod.GET, "b");
+		receive(response("200 OK", "", "second") + OWN.substring(0, OWN.length() - 1));
+		this.channel.advanceTimeBy(5000, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+		receive("n");
+		assertThat(passedOn()).containsExactly("200 own");
+	}
+
+	@Test
+	void otherInformationalResponseIsNotTakenForFinalResponse() {
+		send(HttpMethod.GET, "a");
+		receive("HTTP/1.1 102 Processing\r\n\r\n" + response("200 OK", "Id: a\r\n", "own"));
+		assertThat(passedOn()).containsExactly("200 own");
+	}
+
+	@Test
+	void withoutHeaderEachConnectionCarriesOneRequest() {
+		EmbeddedChannel single = channel(Optional.empty());
+		single.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+		single.writeInbound(Unpooled.copiedBuffer(response("200 OK", "Id: x\r\n", "first"), StandardCharsets.US_ASCII));
+		HttpResponse response = single.readInbound();
+		assertThat(response.headers().getAll("Connection")).containsExactly("close");
+		single.finishAndReleaseAll();
+	}
+
+}
