Limit the wait for an own response, and keep two attempts of a request apart

Cause: a request whose server sent only a response with another id waited until its deadline; two attempts of one request could share a connection, where a second response to the first has the id that the second awaits; a connection that is closed drops what a slow caller has not received yet. Change: the wait ends one second after a discarded response; a connection does not carry an id twice; a paused connection is closed when it is read again. 'Connection: close' is heeded among other options too.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -7,6 +7,7 @@
 import io.balsamlane.core.forwarding.ListedServer;
 import io.balsamlane.router.http.InformationalResponses;
 import io.balsamlane.router.http.ResponseBodyReader;
+import io.balsamlane.router.http.ResponseCorrelation;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -77,6 +78,12 @@
 				fail(new AttemptOutcome.NotSent("the server has become unusable"));
 				return;
 			}
+			if (!ResponseCorrelation.mayCarry(this.outgoing, requestId)) {
+				this.outgoing.reset();
+				this.outgoing.connection().close();
+				fail(new AttemptOutcome.NotSent("the connection may not carry the request"));
+				return;
+			}
 			this.context.dialect()
 				.writeRequestHeaders(request.headers(), this.outgoing.headers(), this.server.name(), remainingMillis);
 			attemptHeaders.accept(this.outgoing.headers());
@@ -132,8 +139,8 @@
 	}
 
 	/**
-	 * Close the connection, so that the server aborts the request. The listeners are not
-	 * notified any more.
+	 * Close the connection if the response is not complete, so that the server aborts the
+	 * request. The listeners are not notified any more.
 	 */
 	void cancel() {
 		this.ended = true;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -70,6 +71,20 @@
 		return vertx.httpClientBuilder().with(options).with(pool).withConnectHandler(this::install).build();
 	}
 
+	/**
+	 * Return whether the connection of a request that has not been sent may carry it.
+	 * @param request the request, opened by a client of a correlation
+	 * @param id id of the request
+	 * @return false if the connection is about to be closed or has carried an earlier
+	 * request with this id
+	 */
+	public static boolean mayCarry(HttpClientRequest request, String id) {
+		return ((ConnectionBase) request.connection()).channel()
+			.pipeline()
+			.get(ResponseCorrelationHandler.class)
+			.mayCarry(id);
+	}
+
 	// Vert.x matches responses to requests by their order only and has no API to observe
 	// them before that.
 	private void install(HttpConnection connection) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
@@ -1,6 +1,8 @@
 package io.balsamlane.router.http;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -35,15 +37,21 @@
 	private static final int MAX_DISCARDED_BYTES = 1 << 20;
 
 	/**
-	 * Time that a request waits for its own response after one without an id: a few times
-	 * the latency target of plain calls.
+	 * Time that a request waits for its own response after one that was discarded: a few
+	 * times the latency target of plain calls.
 	 */
-	private static final long UNIDENTIFIED_WAIT_MILLIS = 1000;
+	private static final long OWN_RESPONSE_WAIT_MILLIS = 1000;
 
 	/** The informational responses that Vert.x does not take for final ones. */
 	private static final Set<Integer> PASSED_ON = Set.of(HttpResponseStatus.CONTINUE.code(),
 			HttpResponseStatus.EARLY_HINTS.code());
 
+	/** Number of requests whose ids are remembered. */
+	private static final int MAX_CARRIED_IDS = 16;
+
+	/** Interval at which a paused connection that is to be closed is checked. */
+	private static final long PAUSED_CHECK_MILLIS = 20;
+
 	private final Optional<String> idHeader;
 
 	private final Supplier<String> ids;
@@ -58,6 +66,10 @@
 
 	private List<String> expectedIds = List.of();
 
+	private final Deque<String> carriedIds = new ArrayDeque<>();
+
+	private boolean retired;
+
 	private boolean finalResponse;
 
 	private boolean attributed;
@@ -102,10 +114,28 @@
 			this.attributed = false;
 			this.headRequestSent |= request.method().equals(HttpMethod.HEAD);
 			this.expectedIds = this.idHeader.map((header) -> idsOf(request, header)).orElse(List.of());
+			this.expectedIds.forEach(this::remember);
 		}
 		context.write(message, promise);
 	}
 
+	private void remember(String id) {
+		this.carriedIds.add(id);
+		if (this.carriedIds.size() > MAX_CARRIED_IDS) {
+			this.carriedIds.remove();
+		}
+	}
+
+	/**
+	 * Return whether the connection may carry a request. A second response to an earlier
+	 * request with the same id could not be told from the response to this one.
+	 * @param id id of the request
+	 * @return false if the connection is about to be closed or has carried the id
+	 */
+	boolean mayCarry(String id) {
+		return !this.retired && !this.carriedIds.contains(id);
+	}
+
 	// A caller may send several ids; a server may echo any of them.
 	private List<String> idsOf(HttpRequest request, String header) {
 		if (!request.headers().contains(header)) {
@@ -144,11 +174,13 @@
 		Optional<UnmatchedResponse.Reason> reason = unmatchedReason(received);
 		if (reason.isPresent()) {
 			report(context, reason.get(), response.status().code(), received.stream().findFirst());
-			discardResponse(context, response, reason.get());
+			discardResponse(context, response);
 			return;
 		}
 		this.attributed = true;
-		if (received.isEmpty() || this.unmatched) {
+		// Vert.x recognises the option only if it is the only one.
+		boolean closes = response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+		if (received.isEmpty() || this.unmatched || closes) {
 			closeAfter(response);
 		}
 	}
@@ -163,23 +195,21 @@
 				: Optional.of(UnmatchedResponse.Reason.OTHER_REQUEST);
 	}
 
-	private void discardResponse(ChannelHandlerContext context, HttpResponse response,
-			UnmatchedResponse.Reason reason) {
+	private void discardResponse(ChannelHandlerContext context, HttpResponse response) {
 		this.unmatched = true;
 		this.discarding = true;
 		this.discardedBytes = 0;
 		// The end of such a response cannot be told from the response that follows it.
 		if (!isSelfDelimited(response) || this.headRequestSent) {
 			context.close();
+			return;
 		}
-		else if (reason == UnmatchedResponse.Reason.UNIDENTIFIED) {
-			int request = this.requests;
-			context.executor().schedule(() -> {
-				if (this.requestInProgress && this.requests == request && !this.attributed) {
-					context.close();
-				}
-			}, UNIDENTIFIED_WAIT_MILLIS, TimeUnit.MILLISECONDS);
-		}
+		int request = this.requests;
+		context.executor().schedule(() -> {
+			if (this.requestInProgress && this.requests == request && !this.attributed) {
+				context.close();
+			}
+		}, OWN_RESPONSE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private static boolean isSelfDelimited(HttpResponse response) {
@@ -209,10 +239,22 @@
 	}
 
 	private void closeUnsolicited(ChannelHandlerContext context, int status, Optional<String> receivedId) {
-		if (context.channel().isOpen()) {
+		if (!this.retired) {
+			this.retired = true;
 			report(context, UnmatchedResponse.Reason.UNSOLICITED, status, receivedId);
+			closeUnlessPaused(context);
+		}
+	}
+
+	// Vert.x drops what it has not delivered yet of a paused response when its connection
+	// is closed.
+	private void closeUnlessPaused(ChannelHandlerContext context) {
+		if (context.channel().config().isAutoRead()) {
 			context.close();
 		}
+		else {
+			context.executor().schedule(() -> closeUnlessPaused(context), PAUSED_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+		}
 	}
 
 	private void report(ChannelHandlerContext context, UnmatchedResponse.Reason reason, int status,
--- a/balsamlane-router/src/test/java/io/balsamlane/router/http/ResponseCorrelationHandlerTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/http/ResponseCorrelationHandlerTests.java
@@ -34,14 +34,15 @@
 
 	private final List<UnmatchedResponse> unmatched = new ArrayList<>();
 
+	private ResponseCorrelationHandler handler;
+
 	private final EmbeddedChannel channel = channel(Optional.of("Id"));
 
 	private int ids;
 
 	private EmbeddedChannel channel(Optional<String> header) {
-		ResponseCorrelationHandler handler = new ResponseCorrelationHandler(header, () -> "generated-" + ++this.ids,
-				this.unmatched::add);
-		return new EmbeddedChannel(handler.idleGuard(), new HttpClientCodec(), handler);
+		this.handler = new ResponseCorrelationHandler(header, () -> "generated-" + ++this.ids, this.unmatched::add);
+		return new EmbeddedChannel(this.handler.idleGuard(), new HttpClientCodec(), this.handler);
 	}
 
 	@AfterEach
@@ -194,14 +195,14 @@
 		assertThat(passedOn()).isEmpty();
 	}
 
-	// A server that echoes ids only sometimes must not hold requests until their
-	// deadline.
-	@Test
-	void waitAfterResponseWithoutIdIsLimited() {
+	// A server that sends a wrong id, or none, must not hold requests until their deadline.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "Id: a\r\n" })
+	void waitForOwnResponseIsLimited(String idLine) {
 		this.channel.freezeTime();
 		exchange();
 		send(HttpMethod.GET, "b");
-		receive(response("200 OK", "", "second"));
+		receive(response("200 OK", idLine, "second"));
 		this.channel.advanceTimeBy(900, TimeUnit.MILLISECONDS);
 		this.channel.runScheduledPendingTasks();
 		assertThat(this.channel.isOpen()).isTrue();
@@ -222,6 +223,14 @@
 		assertThat(passedOn()).containsExactly("200 own");
 	}
 
+	@Test
+	void connectionIsNotUsedAgainAfterCloseAmongOtherOptions() {
+		send(HttpMethod.GET, "a");
+		receive(response("200 OK", "Id: a\r\nConnection: X-Hop, close\r\n", "own"));
+		HttpResponse response = this.channel.readInbound();
+		assertThat(response.headers().get("Connection")).isEqualTo("close");
+	}
+
 	@Test
 	void otherInformationalResponseIsNotTakenForFinalResponse() {
 		send(HttpMethod.GET, "a");
@@ -229,6 +238,32 @@
 		assertThat(passedOn()).containsExactly("200 own");
 	}
 
+	@Test
+	void connectionDoesNotCarryTwoRequestsWithTheSameId() {
+		assertThat(this.handler.mayCarry("a")).isTrue();
+		exchange();
+		assertThat(this.handler.mayCarry("a")).isFalse();
+		assertThat(this.handler.mayCarry("b")).isTrue();
+	}
+
+	// A closed connection drops what a slow caller has not received yet.
+	@Test
+	void connectionIsClosedOnlyWhenItIsNotPaused() {
+		this.channel.freezeTime();
+		send(HttpMethod.GET, "a");
+		this.channel.config().setAutoRead(false);
+		receive(response("200 OK", "Id: a\r\n", "first") + response("200 OK", "Id: a\r\n", "second"));
+		this.channel.advanceTimeBy(5000, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+		assertThat(this.channel.isOpen()).isTrue();
+		assertThat(this.handler.mayCarry("b")).isFalse();
+		this.channel.config().setAutoRead(true);
+		this.channel.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+		this.channel.runScheduledPendingTasks();
+		assertThat(this.channel.isOpen()).isFalse();
+		assertThat(passedOn()).containsExactly("200 first");
+	}
+
 	@Test
 	void withoutHeaderEachConnectionCarriesOneRequest() {
 		EmbeddedChannel single = channel(Optional.empty());
