Close the connection of unsigned responses, and do not fail complete streams

A reset after the end of a response closes nothing, so a server that sent an unsigned response kept its connection; the signature is now checked with the head. The exception handler of a connection outlives its response, so an error of the next request could abort a complete stream that a slow caller still reads; it is set only where the connection ends the body. Servers that a plain call has tried are kept by name, as their entries change.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
@@ -15,6 +15,7 @@
 import io.balsamlane.core.forwarding.NextStep;
 import io.balsamlane.core.forwarding.RequestMetadata;
 import io.balsamlane.core.model.BackendServer;
+import io.balsamlane.core.model.ServerName;
 import io.balsamlane.router.edge.ErrorKind;
 import io.balsamlane.router.http.ResponseBodyReader;
 import io.vertx.core.buffer.Buffer;
@@ -31,7 +32,7 @@
 
 	private static long lastCall;
 
-	private final Set<BackendServer> tried = new HashSet<>();
+	private final Set<ServerName> tried = new HashSet<>();
 
 	private ServerCall call;
 
@@ -53,23 +54,23 @@
 		if (refuseIfQuarantined()) {
 			return;
 		}
-		Map<BackendServer, ListedServer> usable = context().state()
-			.usable(service().name())
-			.stream()
+		List<ListedServer> usable = context().state().usable(service().name());
+		Map<BackendServer, ListedServer> untried = usable.stream()
+			.filter((candidate) -> !this.tried.contains(candidate.name()))
 			.collect(Collectors.toMap(ListedServer::server, Function.identity()));
 		long nowNanos = System.nanoTime();
 		this.attemptNanos = nowNanos;
 		Optional<BackendServer> chosen = context().state()
 			.replicas()
-			.choose(List.copyOf(usable.keySet()), this.tried, route().kind().repeatable(), nowNanos);
+			.choose(List.copyOf(untried.keySet()), Set.of(), route().kind().repeatable(), nowNanos);
 		if (chosen.isEmpty()) {
 			refuse(ErrorKind.NO_SERVER,
 					usable.size() + " servers of " + service().name() + " are usable, all of them were tried",
 					context().state().returnMillis(service().name()));
 			return;
 		}
-		this.server = usable.get(chosen.get());
-		this.tried.add(chosen.get());
+		this.server = untried.get(chosen.get());
+		this.tried.add(this.server.name());
 		attempts().started(this.server.name());
 		this.callNumber = ++lastCall;
 		this.counted = true;
@@ -82,6 +83,12 @@
 
 	private void answered(HttpClientResponse response) {
 		ServerCall current = this.call;
+		if (response.statusCode() / 100 == 2 && !context().dialect().signed(response.headers())) {
+			this.call = null;
+			current.cancel();
+			ended(new AttemptOutcome.Broken("the response has no signature"));
+			return;
+		}
 		ResponseBodyReader.read(response, context().limits().maxResponseBytes(), context().responseMemory())
 			.onComplete((read) -> {
 				if (this.call != current || isDone()) {
@@ -93,11 +100,6 @@
 					ended(new AttemptOutcome.Broken(read.cause().getMessage()));
 					return;
 				}
-				if (response.statusCode() / 100 == 2 && !context().dialect().signed(response.headers())) {
-					current.cancel();
-					ended(new AttemptOutcome.Broken("the response has no signature"));
-					return;
-				}
 				bodyReceived(response, read.result());
 			});
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -20,6 +20,7 @@
 import io.balsamlane.core.model.ServerName;
 import io.balsamlane.router.edge.ErrorKind;
 import io.balsamlane.router.http.ResponseBodyReader;
+import io.balsamlane.router.http.ResponseFraming;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
@@ -349,9 +350,11 @@
 			return;
 		}
 		this.stream = serverResponse;
-		serverResponse.request()
-			.connection()
-			.exceptionHandler((cause) -> abortDecode(current, String.valueOf(cause.getMessage())));
+		if (ResponseFraming.endsWithConnection(serverResponse)) {
+			serverResponse.request()
+				.connection()
+				.exceptionHandler((cause) -> abortDecode(current, String.valueOf(cause.getMessage())));
+		}
 		serverResponse.exceptionHandler((cause) -> abortDecode(current, String.valueOf(cause.getMessage())));
 		serverResponse.handler((bytes) -> bytesReceived(current, bytes));
 		serverResponse.endHandler((ended) -> streamEnded(current));
@@ -364,14 +367,16 @@
 
 	private void nonStreamResponse(HttpClientResponse serverResponse) {
 		ServerCall current = this.decodeCall;
+		if (serverResponse.statusCode() / 100 == 2 && !context().dialect().signed(serverResponse.headers())) {
+			abortDecode(current, "the response has no signature");
+			return;
+		}
 		ResponseBodyReader.read(serverResponse, context().limits().maxResponseBytes(), context().responseMemory())
 			.onComplete((read) -> {
 				if (this.decodeCall != current || isDone()) {
 					return;
 				}
-				boolean unsignedSuccess = serverResponse.statusCode() / 100 == 2
-						&& !context().dialect().signed(serverResponse.headers());
-				if (read.failed() || this.headSent || unsignedSuccess) {
+				if (read.failed() || this.headSent) {
 					abortDecode(current, "status " + serverResponse.statusCode());
 					return;
 				}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
@@ -64,9 +64,11 @@
 				content.appendBuffer(chunk);
 			}
 		});
-		response.request()
-			.connection()
-			.exceptionHandler((cause) -> promise.tryFail("connection failed: " + cause.getMessage()));
+		if (ResponseFraming.endsWithConnection(response)) {
+			response.request()
+				.connection()
+				.exceptionHandler((cause) -> promise.tryFail("connection failed: " + cause.getMessage()));
+		}
 		response.exceptionHandler((cause) -> promise.tryFail(String.valueOf(cause.getMessage())));
 		response.endHandler((ended) -> promise.tryComplete(content));
 		return promise.future().onComplete((read) -> memory.release(content.length()));
