Do not pass on a second response within a body that ends with its connection

A response with neither a length nor chunks ends with its connection, so a second response became a part of it: of the content of a plain call, or an event without an id of a stream. Change: such a body that contains the head of a response counts as broken off.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -412,6 +412,9 @@
 			context().crashGuard().recordOutput(traits());
 		}
 		boolean numbered = event.id() != EventSplitter.Event.NO_ID;
+		if (!numbered && ResponseFraming.containsSecondResponse(this.stream, event.bytes())) {
+			throw new IllegalArgumentException("a second response follows");
+		}
 		if (numbered && event.id() <= this.lastEventId) {
 			return;
 		}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
@@ -70,7 +70,12 @@
 				.exceptionHandler((cause) -> promise.tryFail("connection failed: " + cause.getMessage()));
 		}
 		response.exceptionHandler((cause) -> promise.tryFail(String.valueOf(cause.getMessage())));
-		response.endHandler((ended) -> promise.tryComplete(content));
+		response.endHandler((ended) -> {
+			if (ResponseFraming.containsSecondResponse(response, content.getBytes())) {
+				promise.tryFail("a second response follows");
+			}
+			promise.tryComplete(content);
+		});
 		return promise.future().onComplete((read) -> memory.release(content.length()));
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseFraming.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseFraming.java
@@ -1,5 +1,8 @@
 package io.balsamlane.router.http;
 
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
+
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
 
@@ -8,6 +11,9 @@
  */
 public final class ResponseFraming {
 
+	private static final Pattern HEAD = Pattern
+		.compile("HTTP/1\\.[01] [1-5]\\d\\d[^\\r\\n]*\\r\\n([\\w-]+:[^\\r\\n]*\\r\\n)+\\r\\n");
+
 	private ResponseFraming() {
 	}
 
@@ -23,4 +29,15 @@
 				&& !response.headers().contains(HttpHeaders.TRANSFER_ENCODING);
 	}
 
+	/**
+	 * Return whether a part of a body that is delimited by the end of its connection
+	 * contains the head of a second response.
+	 * @param response the response
+	 * @param body a part of its body
+	 * @return true if a second response follows the first one
+	 */
+	public static boolean containsSecondResponse(HttpClientResponse response, byte[] body) {
+		return endsWithConnection(response) && HEAD.matcher(new String(body, StandardCharsets.ISO_8859_1)).find();
+	}
+
 }
