--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/AbstractStandIn.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/AbstractStandIn.java
@@ -10,13 +10,16 @@
 
 /**
  * Base class of the stand-ins: an HTTP server on the loopback interface with control
- * endpoints for tests under {@code /stand-in/}.
+ * endpoints for tests under {@code /stand-in/}. Each response echoes the
+ * {@code X-Request-Id} of its request.
  */
 public abstract class AbstractStandIn implements StandIn {
 
 	/** Path prefix of the requests with which tests inspect and control a stand-in. */
 	protected static final String CONTROL_PREFIX = "/stand-in/";
 
+	private static final String ID_HEADER = "X-Request-Id";
+
 	private final Vertx vertx;
 
 	private final int port;
@@ -46,6 +49,10 @@
 	}
 
 	private void route(HttpServerRequest request) {
+		String id = request.getHeader(ID_HEADER);
+		if (id != null) {
+			request.response().putHeader(ID_HEADER, id);
+		}
 		if (request.path().startsWith(CONTROL_PREFIX)) {
 			control(request);
 		}
--- /dev/null
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/proxy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Proxies that add faults to the responses of a stand-in.
+ */
+package io.balsamlane.standin.proxy;
