--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/orders/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the orders to engines.
+ */
+package io.balsamlane.router.orders;
--- a/balsamlane-standins/src/main/java/io/balsamlane/standin/proxy/StutteringProxy.java
+++ b/balsamlane-standins/src/main/java/io/balsamlane/standin/proxy/StutteringProxy.java
@@ -89,6 +89,14 @@
 		return this.connections.get();
 	}
 
+	/**
+	 * Return the number of requests that are still to be answered twice.
+	 * @return the number of requests
+	 */
+	public int remaining() {
+		return this.remaining.get();
+	}
+
 	/**
 	 * Return the number of pieces of second responses that have been sent.
 	 * @return the number of pieces
