Attribute the responses to the product's own calls by id

Cause: these clients relied on the order of responses on a connection, as Vert.x does. Change: the clients of replicas, engines, orders, reports, host list and store are created by RequestIdClients, which attributes responses by X-Request-Id.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineConnectionPools.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineConnectionPools.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.router.http.RequestIdClients;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
@@ -49,7 +50,7 @@
 	}
 
 	HttpClient create(int maxConnections) {
-		return this.vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(this.connectTimeoutMillis),
+		return RequestIdClients.create(this.vertx, new HttpClientOptions().setConnectTimeout(this.connectTimeoutMillis),
 				new PoolOptions().setHttp1MaxSize(maxConnections));
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineObserver.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineObserver.java
@@ -13,6 +13,7 @@
 import io.balsamlane.core.scheduling.EngineDescriptor;
 import io.balsamlane.core.scheduling.EngineLoad;
 import io.balsamlane.router.http.BoundedHttpClient;
+import io.balsamlane.router.http.RequestIdClients;
 import io.balsamlane.schema.EngineRole;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -53,7 +54,7 @@
 			Function<String, Optional<Endpoint>> endpoints, BiConsumer<EngineDescriptor, EngineLoad> loads,
 			BiConsumer<EngineDescriptor, List<CacheEvent>> caches) {
 		this.vertx = vertx;
-		this.client = BoundedHttpClient.of(vertx.createHttpClient(), MAX_RESPONSE_BYTES);
+		this.client = BoundedHttpClient.of(RequestIdClients.create(vertx), MAX_RESPONSE_BYTES);
 		this.engines = engines;
 		this.endpoints = endpoints;
 		this.loads = loads;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
@@ -14,6 +14,7 @@
 import io.balsamlane.core.model.RouterHost;
 import io.balsamlane.core.model.ServerName;
 import io.balsamlane.router.http.BoundedHttpClient;
+import io.balsamlane.router.http.RequestIdClients;
 import io.balsamlane.router.json.UntrustedJson;
 import io.balsamlane.schema.HostListSettings;
 import io.vertx.core.Vertx;
@@ -50,7 +51,7 @@
 		this.vertx = vertx;
 		this.settings = settings;
 		this.listener = listener;
-		this.client = BoundedHttpClient.of(vertx.createHttpClient(), MAX_RESPONSE_BYTES);
+		this.client = BoundedHttpClient.of(RequestIdClients.create(vertx), MAX_RESPONSE_BYTES);
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/orders/HttpEngineOrderClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/orders/HttpEngineOrderClient.java
@@ -9,6 +9,7 @@
 import io.balsamlane.core.orders.EngineState;
 import io.balsamlane.router.http.BoundedHttpClient;
 import io.balsamlane.router.http.ReceivedResponse;
+import io.balsamlane.router.http.RequestIdClients;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -39,7 +40,7 @@
 	private HttpEngineOrderClient(Vertx vertx, long callTimeoutMillis) {
 		this.callTimeoutMillis = callTimeoutMillis;
 		this.client = BoundedHttpClient
-			.of(vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
+			.of(RequestIdClients.create(vertx, new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS),
 					new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_ENGINE)), MAX_RESPONSE_BYTES);
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/ReplicaClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/ReplicaClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.router.http.RequestIdClients;
 import io.balsamlane.schema.ServiceSettings;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -65,7 +66,7 @@
 			this.pools.keySet().stream().findFirst().ifPresent(this::drop);
 		}
 		return this.pools.computeIfAbsent(endpoint,
-				(key) -> this.vertx.createHttpClient(
+				(key) -> RequestIdClients.create(this.vertx,
 						new HttpClientOptions().setConnectTimeout(this.settings.getConnectTimeoutMillis())
 							.setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
 						new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_REPLICA)));
--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/ServiceAttempt.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/ServiceAttempt.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
+import io.balsamlane.router.http.RequestIdClients;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
@@ -39,7 +40,7 @@
 
 	void start(HttpServerRequest request, String requestId, String uri, CallBody body) {
 		RequestOptions options = new RequestOptions().setMethod(request.method()).setURI(uri);
-		options.putHeader("X-Request-Id", requestId);
+		options.putHeader(RequestIdClients.ID_HEADER, requestId);
 		ForwardedHeaders.copyRequest(request.headers(), options.getHeaders());
 		this.client.open(this.reservation.server().endpoint(), options).onSuccess((opened) -> {
 			if (this.ended) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
@@ -7,6 +7,7 @@
 
 import io.balsamlane.router.http.ReceivedResponse;
 import io.balsamlane.router.http.RenewableHttpClient;
+import io.balsamlane.router.http.RequestIdClients;
 import io.balsamlane.schema.StoreSettings;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -53,7 +54,7 @@
 		this.callTimeoutMillis = settings.getCallTimeoutMillis();
 		this.watchWaitMillis = settings.getWatchWaitMillis();
 		this.client = RenewableHttpClient.create(vertx,
-				() -> vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(this.callTimeoutMillis),
+				() -> RequestIdClients.create(vertx, new HttpClientOptions().setConnectTimeout(this.callTimeoutMillis),
 						new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS)),
 				MAX_RESPONSE_BYTES, (long) this.watchWaitMillis + this.callTimeoutMillis,
 				() -> logger.log(Level.WARNING, "A call to the store timed out; using new connections"));
--- a/balsamlane-router/src/test/java/io/balsamlane/router/engine/SecondResponseTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/engine/SecondResponseTests.java
@@ -29,7 +29,6 @@
 import io.vertx.core.json.JsonObject;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -122,7 +121,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextPrefill(Fault fault) throws Exception {
 		this.server.stutter(fault);
@@ -134,7 +132,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForStreamOfNextDecode(Fault fault) throws Exception {
 		for (int number = 1; number <= CALLS; number++) {
@@ -148,7 +145,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextCancellation(Fault fault) throws Exception {
 		for (int number = 1; number <= CALLS; number++) {
@@ -166,7 +162,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForNextListOfAttempts(Fault fault) throws Exception {
 		this.server.stutter(fault);
@@ -179,7 +174,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForNextReport(Fault fault) throws Exception {
 		this.server.stutter(fault);
--- a/balsamlane-router/src/test/java/io/balsamlane/router/hosts/SecondResponseTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/hosts/SecondResponseTests.java
@@ -19,7 +19,6 @@
 import io.vertx.core.json.JsonObject;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -96,7 +95,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextPoll(Fault fault) throws Exception {
 		this.server.stutter(fault);
--- a/balsamlane-router/src/test/java/io/balsamlane/router/orders/SecondResponseTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/orders/SecondResponseTests.java
@@ -14,7 +14,6 @@
 import io.balsamlane.standin.engine.EngineStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -64,7 +63,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextOrder(Fault fault) throws Exception {
 		this.server.stutter(fault);
@@ -76,7 +74,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextStateQuery(Fault fault) throws Exception {
 		this.server.stutter(fault);
--- a/balsamlane-router/src/test/java/io/balsamlane/router/service/SecondResponseTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/service/SecondResponseTests.java
@@ -34,7 +34,6 @@
 import io.vertx.core.json.JsonObject;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -142,14 +141,12 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextCall(Fault fault) throws Exception {
 		callsReceiveTheirOwnAnswers(fault, "/search/");
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextNonRepeatableCall(Fault fault) throws Exception {
 		callsReceiveTheirOwnAnswers(fault, "/pickups/");
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/SecondResponseTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/SecondResponseTests.java
@@ -9,7 +9,6 @@
 import io.balsamlane.standin.store.PlatformStoreStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -70,7 +69,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextRead(Fault fault) throws Exception {
 		for (int number = 1; number <= CALLS; number++) {
@@ -85,7 +83,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextWatch(Fault fault) throws Exception {
 		for (int number = 1; number <= CALLS; number++) {
@@ -100,7 +97,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextWrite(Fault fault) throws Exception {
 		this.server.stutter(fault);
@@ -116,7 +112,6 @@
 	}
 
 	@ParameterizedTest
-	@Tag("known-red")
 	@MethodSource("faults")
 	void lateSecondResponseIsNotTakenForResponseToNextLease(Fault fault) throws Exception {
 		this.server.stutter(fault);
