--- a/balsamlane-router/src/test/java/io/balsamlane/router/http/ResponseCorrelationHandlerTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/http/ResponseCorrelationHandlerTests.java
@@ -195,7 +195,8 @@
 		assertThat(passedOn()).isEmpty();
 	}
 
-	// A server that sends a wrong id, or none, must not hold requests until their deadline.
+	// A server that sends a wrong id, or none, must not hold requests until their
+	// deadline.
 	@ParameterizedTest
 	@ValueSource(strings = { "", "Id: a\r\n" })
 	void waitForOwnResponseIsLimited(String idLine) {
