Fail the future of a call on a closed client

Cause: HttpClient.request throws when the client is closed, so the exception left BoundedHttpClient.open, whose result is a future, and the caller's own handling of failures did not run. Measured: callOnClosedClientFailsItsFuture fails on after 10 s without a result and passes now, with the other tests of BoundedHttpClientTests and EndlessControlResponseTests.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/BoundedHttpClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/BoundedHttpClient.java
@@ -63,7 +63,7 @@
 	 */
 	public Future<HttpClientRequest> open(RequestOptions options, long timeoutMillis) {
 		long limitMillis = Math.min(timeoutMillis, MAX_OPEN_MILLIS);
-		Future<HttpClientRequest> opening = this.client.request(options.setConnectTimeout(limitMillis));
+		Future<HttpClientRequest> opening = request(options.setConnectTimeout(limitMillis));
 		// A pool that is closed may leave requests without a result.
 		Future<HttpClientRequest> opened = opening.timeout(limitMillis, TimeUnit.MILLISECONDS);
 		opening.onSuccess((request) -> {
@@ -74,6 +74,16 @@
 		return opened;
 	}
 
+	private Future<HttpClientRequest> request(RequestOptions options) {
+		try {
+			return this.client.request(options);
+		}
+		catch (IllegalStateException ex) {
+			// The client has been closed.
+			return Future.failedFuture(ex);
+		}
+	}
+
 	/**
 	 * Send a request and read the response.
 	 * @param request the request
--- a/balsamlane-router/src/test/java/io/balsamlane/router/http/BoundedHttpClientTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/http/BoundedHttpClientTests.java
@@ -111,4 +111,15 @@
 		assertThat(this.received).isEmpty();
 	}
 
+	// Guards against an exception out of a timer that makes a call after the client's
+	// end.
+	@Test
+	void callOnClosedClientFailsItsFuture() throws Exception {
+		HttpClient closed = this.vertx.createHttpClient();
+		await(closed.close());
+		this.client = BoundedHttpClient.of(closed, MAX_BODY_BYTES);
+		assertThatExceptionOfType(ExecutionException.class).isThrownBy(() -> await(call("/1", 200)))
+			.withMessageContaining("closed");
+	}
+
 }
