Close a replaced pool of connections after its last call

Cause: RenewableHttpClient shut the replaced pool down with the time limit of the longest call as grace period, and Vertx.close() waits for a shutdown that has begun. Change: the pool counts its calls and is closed when it has been replaced and the last of them has ended, which their own time limits bound. No timer is needed, and neither is the longest call as a parameter. The calls in progress refer to the pool, so that the cleaner of Vert.x does not close it.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/RenewableHttpClient.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/RenewableHttpClient.java
@@ -1,6 +1,5 @@
 package io.balsamlane.router.http;
 
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
@@ -26,18 +25,15 @@
 
 	private final int maxBodyBytes;
 
-	private final long maxCallMillis;
-
 	private final Runnable replacementListener;
 
 	private final AtomicReference<Pool> pool;
 
-	private RenewableHttpClient(Vertx vertx, Supplier<HttpClient> pools, int maxBodyBytes, long maxCallMillis,
+	private RenewableHttpClient(Vertx vertx, Supplier<HttpClient> pools, int maxBodyBytes,
 			Runnable replacementListener) {
 		this.vertx = vertx;
 		this.pools = pools;
 		this.maxBodyBytes = maxBodyBytes;
-		this.maxCallMillis = maxCallMillis;
 		this.replacementListener = replacementListener;
 		this.pool = new AtomicReference<>(open());
 	}
@@ -47,19 +43,16 @@
 	 * @param vertx the event loop
 	 * @param pools creates a pool of connections
 	 * @param maxBodyBytes maximum size of the body of a response, in bytes
-	 * @param maxCallMillis longest time limit of a call, in milliseconds; a pool that has
-	 * been replaced is closed after this time
 	 * @param replacementListener notified when the connections are replaced
 	 * @return the client
 	 */
 	public static RenewableHttpClient create(Vertx vertx, Supplier<HttpClient> pools, int maxBodyBytes,
-			long maxCallMillis, Runnable replacementListener) {
-		return new RenewableHttpClient(vertx, pools, maxBodyBytes, maxCallMillis, replacementListener);
+			Runnable replacementListener) {
+		return new RenewableHttpClient(vertx, pools, maxBodyBytes, replacementListener);
 	}
 
 	private Pool open() {
-		HttpClient connections = this.pools.get();
-		return new Pool(connections, BoundedHttpClient.of(connections, this.maxBodyBytes));
+		return new Pool(this.pools.get(), this.maxBodyBytes);
 	}
 
 	/**
@@ -71,10 +64,18 @@
 	 */
 	public Future<ReceivedResponse> call(RequestOptions options, Buffer content, long timeoutMillis) {
 		Pool used = this.pool.get();
-		return used.client().call(options, content, timeoutMillis).onFailure((cause) -> {
-			if (cause instanceof TimeoutException) {
+		while (!used.tryBeginCall()) {
+			used = this.pool.get();
+		}
+		return call(used, options, content, timeoutMillis);
+	}
+
+	private Future<ReceivedResponse> call(Pool used, RequestOptions options, Buffer content, long timeoutMillis) {
+		return used.client.call(options, content, timeoutMillis).onComplete((done) -> {
+			if (done.cause() instanceof TimeoutException) {
 				replace(used);
 			}
+			used.endCall();
 		});
 	}
 
@@ -102,22 +103,63 @@
 		return first.future().onComplete((done) -> this.vertx.cancelTimer(timer));
 	}
 
-	// Calls in progress keep their connections, which may only be slow.
 	private void replace(Pool suspected) {
 		if (this.pool.get() != suspected) {
 			return;
 		}
 		Pool next = open();
 		if (this.pool.compareAndSet(suspected, next)) {
-			suspected.connections().shutdown(this.maxCallMillis, TimeUnit.MILLISECONDS);
+			suspected.retire();
 			this.replacementListener.run();
 		}
 		else {
-			next.connections().close();
+			next.retire();
 		}
 	}
 
-	private record Pool(HttpClient connections, BoundedHttpClient client) {
+	/**
+	 * Pool of connections that is closed once it has been replaced and its calls have
+	 * ended. Calls in progress keep their connections, which may only be slow.
+	 */
+	private static final class Pool {
+
+		private final HttpClient connections;
+
+		private final BoundedHttpClient client;
+
+		private int calls;
+
+		private boolean retired;
+
+		Pool(HttpClient connections, int maxBodyBytes) {
+			this.connections = connections;
+			this.client = BoundedHttpClient.of(connections, maxBodyBytes);
+		}
+
+		synchronized boolean tryBeginCall() {
+			if (this.retired) {
+				return false;
+			}
+			this.calls++;
+			return true;
+		}
+
+		synchronized void endCall() {
+			this.calls--;
+			closeIfUnused();
+		}
+
+		synchronized void retire() {
+			this.retired = true;
+			closeIfUnused();
+		}
+
+		private void closeIfUnused() {
+			if (this.retired && this.calls == 0) {
+				this.connections.close();
+			}
+		}
+
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/HttpPlatformStore.java
@@ -55,7 +55,7 @@
 		this.client = RenewableHttpClient.create(vertx,
 				() -> vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(this.callTimeoutMillis),
 						new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS)),
-				MAX_RESPONSE_BYTES, (long) this.watchWaitMillis + this.callTimeoutMillis,
+				MAX_RESPONSE_BYTES,
 				() -> logger.log(Level.WARNING, "A call to the store timed out; using new connections"));
 	}
 
