--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -2,7 +2,6 @@
 
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -19,7 +18,6 @@
 import io.balsamlane.router.edge.Ran;
 import io.balsamlane.router.edge.Refusal;
 import io.balsamlane.router.http.ResponseMemory;
-import io.balsamlane.router.http.UnmatchedResponse;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
@@ -88,19 +86,12 @@
 		ForwardingLimits limits = ForwardingLimits.defaults();
 		state.setTerminationListener(crashGuard::serverTerminated);
 		ServerClient client = new ServerClient(vertx, limits, dialect.requestIdHeader(),
-				(response) -> recordUnmatched(response, log, metrics));
+				UnmatchedResponseRecorder.create(log, metrics));
 		return new FrontServer(new ForwardingContext(vertx, dialect, state, client, limits, log, metrics,
 				new WaitingStreams(vertx), crashGuard, reservations, ResponseMemory.ofSize(limits.maxBufferedBytes())),
 				readyPath);
 	}
 
-	private static void recordUnmatched(UnmatchedResponse response, DecisionLog log, ForwardingMetrics metrics) {
-		log.log("response-unmatched", response.expectedId().orElse(""), "server", response.server(), "reason",
-				response.reason(), "status", response.status(), "received", response.receivedId().orElse(""),
-				"connection_requests", response.requests());
-		metrics.count("responses_unmatched_total", response.reason().name().toLowerCase(Locale.ROOT));
-	}
-
 	/**
 	 * Start listening.
 	 * @param front address for callers
