--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/ServerCallTests.java
@@ -0,0 +1,99 @@
+package io.balsamlane.router.forwarding;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.lang.reflect.Proxy;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.balsamlane.core.forwarding.AttemptOutcome;
+import io.balsamlane.core.forwarding.EngineRates;
+import io.balsamlane.core.forwarding.EngineStage;
+import io.balsamlane.core.forwarding.ListedServer;
+import io.balsamlane.core.model.BackendServer;
+import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.model.Place;
+import io.balsamlane.core.model.ServerName;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a request that is written to a server which announced, while the
+ * connection was opened, that it is leaving or wants no requests for a time.
+ */
+class ServerCallTests {
+
+	private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+
+	private final Vertx serverVertx = Vertx.vertx();
+
+	private final AtomicInteger received = new AtomicInteger();
+
+	private final ForwardingState state = ForwardingState.create(
+			DecisionLog.create("router", new PrintStream(OutputStream.nullOutputStream())),
+			new EngineRates(33.3, 2.3, 10, 3, 42, 60, 25), "region", "place", 0,
+			new ForwardingState.RetryRule(0.2, 54, 10_000_000_000L));
+
+	private HttpServer server;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.server = this.serverVertx.createHttpServer().requestHandler((request) -> {
+			this.received.incrementAndGet();
+			request.response().end();
+		});
+		await(this.server.listen(0, "127.0.0.1"));
+	}
+
+	@AfterEach
+	void stop() throws Exception {
+		await(this.vertx.close());
+		await(this.serverVertx.close());
+	}
+
+	private static <T> T await(Future<T> future) throws Exception {
+		return future.toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void serverThatBecomesUnusableWhileConnectingGetsNoRequest(boolean leaving) throws Exception {
+		ListedServer listed = new ListedServer(new BackendServer(ServerName.of("a"), BackendServer.Kind.SERVICE,
+				"service", Place.of("place"), "region", Endpoint.of("127.0.0.1", this.server.actualPort()), false),
+				EngineStage.DECODE, 6, 1);
+		this.state.serverListed(listed);
+		Promise<AttemptOutcome> outcome = Promise.promise();
+		this.vertx.runOnContext((ignored) -> {
+			ForwardingContext context = new ForwardingContext(this.vertx, null, this.state,
+					new ServerClient(this.vertx, ForwardingLimits.defaults(), "Id", (unmatched) -> {
+					}), ForwardingLimits.defaults(), null, null, null, null, null, null);
+			new ServerCall(context, listed, (response) -> outcome.fail("a response"), outcome::complete)
+				.start(request(), "id", Buffer.buffer(), 1000, (headers) -> {
+				});
+			this.state.noticeReceived(listed, new ServerNotice(leaving, leaving ? 0 : 30_000, Optional.empty()));
+		});
+		assertThat(await(outcome.future())).isInstanceOf(AttemptOutcome.NotSent.class);
+		Thread.sleep(100);
+		assertThat(this.received).hasValue(0);
+	}
+
+	private static HttpServerRequest request() {
+		return (HttpServerRequest) Proxy.newProxyInstance(ServerCallTests.class.getClassLoader(),
+				new Class<?>[] { HttpServerRequest.class },
+				(proxy, method, arguments) -> method.getName().equals("method") ? HttpMethod.GET : "/");
+	}
+
+}
