Leave a request without its end when the caller breaks off its upload

Cause: Vert.x' pipe ends its destination also when its source fails. A chunked upload that the caller broke off therefore got its last chunk before the request was reset, and the replica could run the truncated call as a complete one. Change: the pipe of CallBody does not end the request on failure; the reset that follows closes the connection. Measured: BrokenUploadTests (new) with a replica that records the bytes it receives. Before, 1 of 2 failed: the recorded call ended with "0 CRLF CRLF" at the replica; the repeatable call passed, because its reset came first. Now 2 of 2 pass. Conclusion: the end of a chunked request is sent only after the end of the caller's request has been received.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/CallBody.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/CallBody.java
@@ -95,7 +95,8 @@
 	}
 
 	/**
-	 * Send the body.
+	 * Send the body. If the caller breaks off its upload, the request is left without its
+	 * end, because the replica would otherwise run a truncated call.
 	 * @param outgoing the request to the replica
 	 * @return a future that completes when the body has been sent
 	 */
@@ -109,7 +110,7 @@
 			outgoing.setChunked(true);
 		}
 		outgoing.write(this.buffered);
-		return this.request.pipeTo(outgoing);
+		return this.request.pipe().endOnFailure(false).to(outgoing);
 	}
 
 }
