Close the connection of an upload that breaks off after its response

Cause: a replica may respond before it has received the whole request and keep the connection. If the caller then broke off its upload, the pipe ended the request although its body was too short, and reset(), which does nothing once the response has ended, left the connection open for use. The next request on it was read as the rest of the body. Change: ServiceAttempt closes the connection of a request that was not ended. CallBody ends the request itself, so that the attempt knows at which point the connection may have been passed on. Measured: BrokenUploadTests, 4 new cases with a replica that responds after the first bytes and a caller that resets its connection. Conclusion: a connection on which a request was cut is not used again. A caller that closes its connection in an orderly way is not covered: Vert.x reports the close only to a request whose response is in progress, so that the connection to the replica stays open and occupied.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/CallBody.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/CallBody.java
@@ -95,10 +95,11 @@
 	}
 
 	/**
-	 * Send the body. If the caller breaks off its upload, the request is left without its
-	 * end, because the replica would otherwise run a truncated call.
+	 * Send the body and end the request to the replica. If the caller breaks off its
+	 * upload, the request is left without its end, because the replica would otherwise
+	 * run a truncated call.
 	 * @param outgoing the request to the replica
-	 * @return a future that completes when the body has been sent
+	 * @return a future that completes when the request has been ended
 	 */
 	Future<Void> sendTo(HttpClientRequest outgoing) {
 		if (this.complete) {
@@ -110,7 +111,11 @@
 			outgoing.setChunked(true);
 		}
 		outgoing.write(this.buffered);
-		return this.request.pipe().endOnFailure(false).to(outgoing);
+		return this.request.pipe()
+			.endOnFailure(false)
+			.endOnSuccess(false)
+			.to(outgoing)
+			.onSuccess((sent) -> outgoing.end());
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/ServiceAttempt.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/ServiceAttempt.java
@@ -23,6 +23,8 @@
 
 	private HttpClientRequest outgoing;
 
+	private boolean requestEnded;
+
 	private boolean ended;
 
 	ServiceAttempt(ReplicaTable replicas, ReplicaClient client, ReplicaTable.Reservation reservation,
@@ -55,7 +57,8 @@
 					handleFailure(answer.cause(), true);
 				}
 			});
-			body.sendTo(opened).onFailure((cause) -> opened.reset());
+			this.requestEnded = body.complete();
+			body.sendTo(opened).onSuccess((sent) -> this.requestEnded = true).onFailure((cause) -> abort());
 		}).onFailure((cause) -> handleFailure(cause, false));
 	}
 
@@ -95,11 +98,20 @@
 			this.ended = true;
 			this.replicas.recordAbandonment(this.reservation);
 			if (this.outgoing != null) {
-				this.outgoing.reset();
+				abort();
 			}
 		}
 	}
 
+	private void abort() {
+		if (!this.requestEnded) {
+			// After the end of the response a reset would leave the connection open, and
+			// the next request on it would be read as the rest of this one.
+			this.outgoing.connection().close();
+		}
+		this.outgoing.reset();
+	}
+
 	/**
 	 * Result of an attempt.
 	 */
--- a/balsamlane-router/src/test/java/io/balsamlane/router/service/BrokenUploadTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/service/BrokenUploadTests.java
@@ -30,13 +30,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
  * Guards against an upload that its caller breaks off and that reaches a replica as a
- * complete request.
+ * complete request, or takes up the bytes of the next request on the same connection.
  */
 class BrokenUploadTests {
 
@@ -52,6 +53,8 @@
 
 	private final List<Connection> connections = new CopyOnWriteArrayList<>();
 
+	private volatile boolean answersEarly;
+
 	private int port;
 
 	@BeforeEach
@@ -86,11 +89,11 @@
 	}
 
 	private void accept(NetSocket socket) {
-		Connection connection = new Connection();
+		Connection connection = new Connection(this.answersEarly);
 		this.connections.add(connection);
 		socket.exceptionHandler((cause) -> connection.closed = true);
 		socket.closeHandler((ended) -> connection.closed = true);
-		socket.handler((bytes) -> connection.receive(bytes.toString(StandardCharsets.US_ASCII)));
+		socket.handler((bytes) -> connection.receive(bytes.toString(StandardCharsets.US_ASCII), socket));
 	}
 
 	@ParameterizedTest
@@ -106,6 +109,30 @@
 		assertThat(connection.received()).doesNotEndWith("\r\n0\r\n\r\n");
 	}
 
+	@ParameterizedTest
+	@CsvSource({ REPEATABLE + ",Content-Length: 50000", REPEATABLE + ",Transfer-Encoding: chunked",
+			RECORDED + ",Content-Length: 50000", RECORDED + ",Transfer-Encoding: chunked" })
+	void connectionOfUploadResetAfterItsAnswerIsNotUsedAgain(String path, String framing) throws Exception {
+		this.answersEarly = true;
+		try (Socket caller = upload(path, framing)) {
+			assertThat(readAnswer(caller)).endsWith("early");
+			waitUntil(() -> this.connections.get(0).hasReceivedPart());
+			caller.setSoLinger(true, 0);
+		}
+		Connection first = this.connections.get(0);
+		waitUntil(() -> first.closed);
+		this.answersEarly = false;
+		try (Socket caller = send(path, "Content-Length: 4", "next")) {
+			waitUntil(() -> first.received().endsWith("next") || this.connections.size() == 2);
+			assertThat(first.hasReceivedPart()).isTrue();
+			assertThat(first.received()).containsOnlyOnce("POST").doesNotEndWith("\r\n0\r\n\r\n");
+			assertThat(first.closed).isTrue();
+			assertThat(readAnswer(caller)).endsWith("whole");
+		}
+		assertThat(this.connections).hasSize(2);
+		assertThat(this.connections.get(1).received()).startsWith("POST").endsWith("\r\n\r\nnext");
+	}
+
 	private Socket upload(String path, String framing) throws IOException {
 		boolean chunked = framing.startsWith("Transfer");
 		return send(path, framing, chunked ? Integer.toHexString(PART.length()) + "\r\n" + PART + "\r\n" : PART);
@@ -121,6 +148,16 @@
 		return socket;
 	}
 
+	private static String readAnswer(Socket socket) throws IOException {
+		StringBuilder received = new StringBuilder();
+		int value = socket.getInputStream().read();
+		while (value >= 0) {
+			received.append((char) value);
+			value = received.toString().endsWith("\r\n\r\n") ? -1 : socket.getInputStream().read();
+		}
+		return received + new String(socket.getInputStream().readNBytes(5), StandardCharsets.US_ASCII);
+	}
+
 	private static void waitUntil(BooleanSupplier condition) throws InterruptedException {
 		long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
 		while (!condition.getAsBoolean() && System.nanoTime() - deadlineNanos < 0) {
@@ -135,12 +172,24 @@
 	/** Connection of the router to the replica, and what the replica received on it. */
 	private static final class Connection {
 
+		private final boolean answersEarly;
+
 		private final StringBuilder received = new StringBuilder();
 
+		private boolean answered;
+
 		private volatile boolean closed;
 
-		private synchronized void receive(String bytes) {
+		private Connection(boolean answersEarly) {
+			this.answersEarly = answersEarly;
+		}
+
+		private synchronized void receive(String bytes, NetSocket socket) {
 			this.received.append(bytes);
+			if (!this.answered && (this.answersEarly || this.received.toString().endsWith("\r\n\r\nnext"))) {
+				this.answered = true;
+				socket.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + (this.answersEarly ? "early" : "whole"));
+			}
 		}
 
 		private boolean hasReceivedPart() {
