Ignore error responses and overtaken responses of the host list

Cause: HostListReader did not read the status of a response, so that a JSON array in an error response replaced the list, and "[]" emptied it. Polls overlapped when a response took longer than the interval: an older list could replace a newer one. Change: only status 200 counts; a poll that is due while the previous one is in progress is skipped. Each poll has a time limit, after which the next one starts. Conclusion: the list changes only by complete, successful responses, in the order of the polls.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/hosts/HostListReader.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 
 import io.balsamlane.core.model.BackendServer;
@@ -16,6 +17,8 @@
 import io.balsamlane.router.http.BoundedHttpClient;
 import io.balsamlane.router.json.UntrustedJson;
 import io.balsamlane.schema.HostListSettings;
+import io.vertx.core.AsyncResult;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -23,7 +26,9 @@
 import io.vertx.core.json.JsonObject;
 
 /**
- * Polls the host list at a fixed interval and passes each changed list to a listener.
+ * Polls the host list at a fixed interval and passes each changed list to a listener. A
+ * poll that is due while the previous one is in progress is skipped, so that lists arrive
+ * in the order in which they were requested.
  */
 public final class HostListReader {
 
@@ -34,6 +39,8 @@
 
 	private static final int MIN_TIMEOUT_MILLIS = 1000;
 
+	private static final int STATUS_OK = 200;
+
 	private final Vertx vertx;
 
 	private final HostListSettings settings;
@@ -42,6 +49,8 @@
 
 	private final Consumer<HostList> listener;
 
+	private final AtomicBoolean polling = new AtomicBoolean();
+
 	private HostList previous = HostList.empty();
 
 	private long timer = -1;
@@ -80,13 +89,30 @@
 	}
 
 	private void poll() {
+		if (!this.polling.compareAndSet(false, true)) {
+			return;
+		}
 		this.client
 			.call(new RequestOptions().setMethod(HttpMethod.GET).setAbsoluteURI(this.settings.getUrl()),
 					Buffer.buffer(), Math.max(MIN_TIMEOUT_MILLIS, this.settings.getPollMillis()))
-			.map((response) -> parse(response.body()))
-			.onSuccess(this::notifyIfChanged)
-			.onFailure((cause) -> logger.log(Level.WARNING,
-					"The host list cannot be read; keeping the previous list: {0}", cause.getMessage()));
+			.compose((response) -> (response.status() == STATUS_OK) ? Future.succeededFuture(parse(response.body()))
+					: Future.failedFuture("status " + response.status()))
+			.onComplete(this::handleResult);
+	}
+
+	private void handleResult(AsyncResult<HostList> result) {
+		try {
+			if (result.succeeded()) {
+				notifyIfChanged(result.result());
+			}
+			else {
+				logger.log(Level.WARNING, "The host list cannot be read; keeping the previous list: {0}",
+						result.cause().getMessage());
+			}
+		}
+		finally {
+			this.polling.set(false);
+		}
 	}
 
 	private void notifyIfChanged(HostList hosts) {
