Apply the responses of an engine in the order of the polls

Cause: EngineObserver polled an engine again while a response was still due (the time limit is 1 s, the interval is shorter). A slow load report replaced newer ones, and slow cache events could set the last sequence back, so that events were read twice. Change: a poll of one kind is skipped while the previous one at the same engine is in progress. Conclusion: each engine has one poll of each kind in progress at a time. A slow engine delays its own reports by at most the time limit.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineObserver.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/engine/EngineObserver.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -24,7 +27,9 @@
 
 /**
  * Polls load reports and cache events of the engines whose scheduler runs on this router.
- * An engine that does not answer is skipped until the next poll.
+ * An engine that does not answer is skipped until the next poll, and one that has not
+ * answered the previous poll yet is not polled again, so that its answers are applied in
+ * order.
  */
 public final class EngineObserver {
 
@@ -45,6 +50,8 @@
 
 	private final BiConsumer<EngineDescriptor, List<CacheEvent>> caches;
 
+	private final Set<String> pollsInProgress = ConcurrentHashMap.newKeySet();
+
 	private Map<String, Long> lastSequences = new HashMap<>();
 
 	private long timer = -1;
@@ -95,15 +102,32 @@
 		Map<String, Long> current = new HashMap<>();
 		present.forEach((engine) -> this.endpoints.apply(engine.name()).ifPresent((endpoint) -> {
 			current.put(engine.name(), this.lastSequences.getOrDefault(engine.name(), 0L));
-			get(endpoint, "/v1/load").onSuccess((body) -> this.loads.accept(engine, toLoad(engine, body)));
+			poll(engine, endpoint, "/v1/load", "", (body) -> this.loads.accept(engine, toLoad(engine, body)));
 			if (engine.role() == EngineRole.PREFILL) {
-				get(endpoint, "/v1/cache-events?after=" + current.get(engine.name()))
-					.onSuccess((body) -> readEvents(engine, body));
+				poll(engine, endpoint, "/v1/cache-events", "?after=" + current.get(engine.name()),
+						(body) -> readEvents(engine, body));
 			}
 		}));
 		this.lastSequences = current;
 	}
 
+	private void poll(EngineDescriptor engine, Endpoint endpoint, String path, String query, Consumer<Buffer> reader) {
+		String key = engine.name() + path;
+		if (!this.pollsInProgress.add(key)) {
+			return;
+		}
+		get(endpoint, path + query).onComplete((result) -> {
+			try {
+				if (result.succeeded()) {
+					reader.accept(result.result());
+				}
+			}
+			finally {
+				this.pollsInProgress.remove(key);
+			}
+		});
+	}
+
 	private Future<Buffer> get(Endpoint endpoint, String uri) {
 		RequestOptions options = new RequestOptions().setMethod(HttpMethod.GET)
 			.setHost(endpoint.address())
