Close the connection of an upload whose caller leaves after its response

Cause: Vert.x reports the close of an HTTP/1.1 connection only to a request whose response is in progress. If a replica responded early and the caller then closed its connection in an orderly way in the middle of its upload, the request to the replica neither ended nor failed, and its connection stayed open and occupied, one of the 256 of that replica. Change: CallBody also listens to the close of the caller's connection while it sends a body, and fails unless the caller's request has ended; the attempt then closes the connection to the replica. Conclusion: an upload that cannot be completed frees its connection, whichever way the caller leaves.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/CallBody.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/CallBody.java
@@ -1,10 +1,13 @@
 package io.balsamlane.router.service;
 
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.net.impl.ConnectionBase;
 
 /**
  * Body of a caller's request. The start of the body is buffered; the rest is streamed
@@ -111,11 +114,26 @@
 			outgoing.setChunked(true);
 		}
 		outgoing.write(this.buffered);
-		return this.request.pipe()
-			.endOnFailure(false)
-			.endOnSuccess(false)
-			.to(outgoing)
-			.onSuccess((sent) -> outgoing.end());
+		Promise<Void> sent = Promise.promise();
+		// Vert.x reports the end of a connection only to a request whose response has not
+		// ended.
+		ChannelFuture closing = ((ConnectionBase) this.request.connection()).channel().closeFuture();
+		ChannelFutureListener onClose = (closed) -> {
+			if (!this.request.isEnded()) {
+				sent.tryFail("the caller closed the connection");
+			}
+		};
+		closing.addListener(onClose);
+		this.request.pipe().endOnFailure(false).endOnSuccess(false).to(outgoing).onComplete((result) -> {
+			closing.removeListener(onClose);
+			if (result.failed()) {
+				sent.tryFail(result.cause());
+			}
+			else if (sent.tryComplete()) {
+				outgoing.end();
+			}
+		});
+		return sent.future();
 	}
 
 }
--- a/balsamlane-router/src/test/java/io/balsamlane/router/service/BrokenUploadTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/service/BrokenUploadTests.java
@@ -25,6 +25,12 @@
 import io.balsamlane.schema.Settings;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpVersion;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import org.junit.jupiter.api.AfterEach;
@@ -133,6 +139,41 @@
 		assertThat(this.connections.get(1).received()).startsWith("POST").endsWith("\r\n\r\nnext");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "Content-Length: 50000", "Transfer-Encoding: chunked" })
+	void connectionOfUploadClosedAfterItsAnswerIsNotKept(String framing) throws Exception {
+		this.answersEarly = true;
+		try (Socket caller = upload(RECORDED, framing)) {
+			assertThat(readAnswer(caller)).endsWith("early");
+			waitUntil(() -> this.connections.get(0).hasReceivedPart());
+		}
+		Connection connection = this.connections.get(0);
+		waitUntil(() -> connection.closed);
+		assertThat(connection.closed).isTrue();
+		assertThat(connection.received()).doesNotEndWith("\r\n0\r\n\r\n");
+	}
+
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void http2UploadBrokenOffByCallerIsNotCompletedAtReplica(boolean answered) throws Exception {
+		this.answersEarly = answered;
+		HttpClient client = this.vertx.createHttpClient(
+				new HttpClientOptions().setProtocolVersion(HttpVersion.HTTP_2).setHttp2ClearTextUpgrade(false));
+		HttpClientRequest caller = await(client.request(HttpMethod.POST, this.port, "127.0.0.1", RECORDED));
+		assertThat(caller.version()).isEqualTo(HttpVersion.HTTP_2);
+		await(caller.putHeader("Idempotency-Key", "key").setChunked(true).write(PART));
+		if (answered) {
+			assertThat(await(caller.response().compose(HttpClientResponse::body)).toString()).isEqualTo("early");
+		}
+		waitUntil(() -> !this.connections.isEmpty() && this.connections.get(0).hasReceivedPart());
+		Connection connection = this.connections.get(0);
+		assertThat(connection.hasReceivedPart()).isTrue();
+		await(caller.connection().close());
+		waitUntil(() -> connection.closed);
+		assertThat(connection.closed).isTrue();
+		assertThat(connection.received()).doesNotEndWith("\r\n0\r\n\r\n");
+	}
+
 	private Socket upload(String path, String framing) throws IOException {
 		boolean chunked = framing.startsWith("Transfer");
 		return send(path, framing, chunked ? Integer.toHexString(PART.length()) + "\r\n" + PART + "\r\n" : PART);
