Take a connection with an unsolicited response out of the pool before it is closed

What callers saw: a call of a store, an engine or an order failed with 'Connection was closed', because the server had answered the call before it twice in one write. Cause: Vert.x returns a closed channel's connection to no caller only once the channel is reported inactive, in a later task of the event loop; a call that is made in between is assigned to it. Change: the connection is shut down by Vert.x, which takes it out of the pool at once and lets a request that it was assigned to end. Bytes that arrive meanwhile go through the codec, so that the rest of a second response is not read as another one.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
@@ -27,6 +28,9 @@
 
 	private static final String HTTP_CODEC = "codec";
 
+	/** Grace period for a request on a connection that is not to be used again. */
+	private static final int SHUTDOWN_GRACE_SECONDS = 10;
+
 	private final Optional<String> idHeader;
 
 	private final Consumer<UnmatchedResponse> listener;
@@ -90,7 +94,8 @@
 	private void install(HttpConnection connection) {
 		ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
 		ResponseCorrelationHandler handler = new ResponseCorrelationHandler(this.idHeader,
-				() -> this.idPrefix + this.ids.incrementAndGet(), this.listener);
+				() -> this.idPrefix + this.ids.incrementAndGet(), this.listener,
+				(context) -> connection.shutdown(SHUTDOWN_GRACE_SECONDS, TimeUnit.SECONDS));
 		pipeline.addBefore(HTTP_CODEC, "idle-guard", handler.idleGuard());
 		pipeline.addAfter(HTTP_CODEC, "correlation", handler);
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
@@ -58,6 +58,8 @@
 
 	private final Consumer<UnmatchedResponse> listener;
 
+	private final Consumer<ChannelHandlerContext> idleCloser;
+
 	private int requests;
 
 	private boolean requestInProgress;
@@ -82,9 +84,23 @@
 	private long discardedBytes;
 
 	ResponseCorrelationHandler(Optional<String> idHeader, Supplier<String> ids, Consumer<UnmatchedResponse> listener) {
+		this(idHeader, ids, listener, ChannelHandlerContext::close);
+	}
+
+	/**
+	 * Create a handler.
+	 * @param idHeader name of the header that carries the id of a request, if any
+	 * @param ids generates the ids of requests that lack one
+	 * @param listener notified of each response that cannot be attributed
+	 * @param idleCloser closes the connection, after the request that the client may have
+	 * assigned to it
+	 */
+	ResponseCorrelationHandler(Optional<String> idHeader, Supplier<String> ids, Consumer<UnmatchedResponse> listener,
+			Consumer<ChannelHandlerContext> idleCloser) {
 		this.idHeader = idHeader;
 		this.ids = ids;
 		this.listener = listener;
+		this.idleCloser = idleCloser;
 	}
 
 	/**
@@ -100,8 +116,9 @@
 					context.fireChannelRead(bytes);
 					return;
 				}
-				ReferenceCountUtil.release(bytes);
 				closeUnsolicited(context, 0, Optional.empty());
+				// The rest may arrive when a request is in progress.
+				context.fireChannelRead(bytes);
 			}
 		};
 	}
@@ -164,6 +181,9 @@
 		if (!this.requestInProgress) {
 			this.discarding = true;
 			closeUnsolicited(context, response.status().code(), received.stream().findFirst());
+			if (!isSelfDelimited(response) && context.channel().config().isAutoRead()) {
+				context.close();
+			}
 			return;
 		}
 		this.finalResponse = response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
@@ -241,6 +261,7 @@
 	private void closeUnsolicited(ChannelHandlerContext context, int status, Optional<String> receivedId) {
 		if (!this.retired) {
 			this.retired = true;
+			this.unmatched = true;
 			report(context, UnmatchedResponse.Reason.UNSOLICITED, status, receivedId);
 			closeUnlessPaused(context);
 		}
@@ -250,7 +271,7 @@
 	// is closed.
 	private void closeUnlessPaused(ChannelHandlerContext context) {
 		if (context.channel().config().isAutoRead()) {
-			context.close();
+			this.idleCloser.accept(context);
 		}
 		else {
 			context.executor().schedule(() -> closeUnlessPaused(context), PAUSED_CHECK_MILLIS, TimeUnit.MILLISECONDS);
