Do not read the head of a response as the rest of one that broke off

What callers saw: a success where their server had responded with a failure, with the signature and the id of their own request; with other bytes a 502 although the response arrived. Cause: a second response that breaks off within its head, or arrives in pieces, stays in the HTTP codec of a kept connection. The head of the next response is read as the rest of it: the status is that of the second response, the other headers and the content are those of the request's own one. Ids cannot tell. Change: the codec reports bytes after the end of a response; the connection is taken out of the pool before the response ends, and carries no further request. A head that contains the status line of another closes its connection.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
@@ -22,7 +22,8 @@
  * A request carries an id in a header, and the server echoes it. A response with another
  * id is discarded, and the request goes on waiting for its own. A response without an id
  * is accepted as the first one on its connection, which is not used again; later ones are
- * discarded. A connection on which bytes arrive between two requests is closed.
+ * discarded. A connection on which bytes arrive between two requests is closed, as is one
+ * on which the head of a response contains that of another.
  */
 public final class ResponseCorrelation {
 
@@ -72,7 +73,11 @@
 	 * @return the client
 	 */
 	public HttpClient createClient(Vertx vertx, HttpClientOptions options, PoolOptions pool) {
-		return vertx.httpClientBuilder().with(options).with(pool).withConnectHandler(this::install).build();
+		return vertx.httpClientBuilder()
+			.with(options)
+			.with(pool)
+			.withConnectHandler((connection) -> install(connection, options))
+			.build();
 	}
 
 	/**
@@ -91,11 +96,12 @@
 
 	// Vert.x matches responses to requests by their order only and has no API to observe
 	// them before that.
-	private void install(HttpConnection connection) {
+	private void install(HttpConnection connection, HttpClientOptions options) {
 		ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
 		ResponseCorrelationHandler handler = new ResponseCorrelationHandler(this.idHeader,
 				() -> this.idPrefix + this.ids.incrementAndGet(), this.listener,
 				(context) -> connection.shutdown(SHUTDOWN_GRACE_SECONDS, TimeUnit.SECONDS));
+		pipeline.replace(HTTP_CODEC, HTTP_CODEC, handler.codec(options));
 		pipeline.addBefore(HTTP_CODEC, "idle-guard", handler.idleGuard());
 		pipeline.addAfter(HTTP_CODEC, "correlation", handler);
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
@@ -1,5 +1,6 @@
 package io.balsamlane.router.http;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -9,23 +10,32 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.vertx.core.http.HttpClientOptions;
 
 /**
  * Attributes the responses on one HTTP/1.1 connection, which carries one request at a
@@ -42,6 +52,8 @@
 	 */
 	private static final long OWN_RESPONSE_WAIT_MILLIS = 1000;
 
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d");
+
 	/** The informational responses that Vert.x does not take for final ones. */
 	private static final Set<Integer> PASSED_ON = Set.of(HttpResponseStatus.CONTINUE.code(),
 			HttpResponseStatus.EARLY_HINTS.code());
@@ -64,8 +76,13 @@
 
 	private boolean requestInProgress;
 
+	private boolean headRequest;
+
 	private boolean headRequestSent;
 
+	/** Whether bytes follow the end of a response in the same read. */
+	private boolean trailingBytes;
+
 	private List<String> expectedIds = List.of();
 
 	private final Deque<String> carriedIds = new ArrayDeque<>();
@@ -83,17 +100,13 @@
 
 	private long discardedBytes;
 
-	ResponseCorrelationHandler(Optional<String> idHeader, Supplier<String> ids, Consumer<UnmatchedResponse> listener) {
-		this(idHeader, ids, listener, ChannelHandlerContext::close);
-	}
-
 	/**
 	 * Create a handler.
 	 * @param idHeader name of the header that carries the id of a request, if any
 	 * @param ids generates the ids of requests that lack one
 	 * @param listener notified of each response that cannot be attributed
-	 * @param idleCloser closes the connection, after the request that the client may have
-	 * assigned to it
+	 * @param idleCloser takes the connection out of the client's pool, and closes it when
+	 * no request is in progress
 	 */
 	ResponseCorrelationHandler(Optional<String> idHeader, Supplier<String> ids, Consumer<UnmatchedResponse> listener,
 			Consumer<ChannelHandlerContext> idleCloser) {
@@ -116,20 +129,37 @@
 					context.fireChannelRead(bytes);
 					return;
 				}
+				ReferenceCountUtil.release(bytes);
 				closeUnsolicited(context, 0, Optional.empty());
-				// The rest may arrive when a request is in progress.
-				context.fireChannelRead(bytes);
 			}
 		};
 	}
 
+	/**
+	 * Return a codec for the connection that detects bytes after the end of a response. A
+	 * part of the head of another response would otherwise stay in the codec, and the
+	 * next response would be read as the rest of it.
+	 * @param options limits of the codec
+	 * @return the codec
+	 */
+	ChannelHandler codec(HttpClientOptions options) {
+		return new CombinedChannelDuplexHandler<>(new ResponseDecoder(options), new HttpRequestEncoder());
+	}
+
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
 		if (message instanceof HttpRequest request) {
+			if (this.retired) {
+				ReferenceCountUtil.release(message);
+				promise.tryFailure(new IOException("The server sent bytes after its response"));
+				context.close();
+				return;
+			}
 			this.requests++;
 			this.requestInProgress = true;
 			this.attributed = false;
-			this.headRequestSent |= request.method().equals(HttpMethod.HEAD);
+			this.headRequest = request.method().equals(HttpMethod.HEAD);
+			this.headRequestSent |= this.headRequest;
 			this.expectedIds = this.idHeader.map((header) -> idsOf(request, header)).orElse(List.of());
 			this.expectedIds.forEach(this::remember);
 		}
@@ -163,7 +193,7 @@
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
-		if (message instanceof HttpResponse response && response.decoderResult().isSuccess()) {
+		if (message instanceof HttpResponse response) {
 			headReceived(context, response);
 		}
 		if (this.discarding) {
@@ -172,6 +202,9 @@
 		}
 		if (message instanceof LastHttpContent && this.finalResponse) {
 			this.requestInProgress = false;
+			if (this.trailingBytes) {
+				closeUnsolicited(context, 0, Optional.empty());
+			}
 		}
 		context.fireChannelRead(message);
 	}
@@ -181,9 +214,15 @@
 		if (!this.requestInProgress) {
 			this.discarding = true;
 			closeUnsolicited(context, response.status().code(), received.stream().findFirst());
-			if (!isSelfDelimited(response) && context.channel().config().isAutoRead()) {
-				context.close();
-			}
+			return;
+		}
+		if (response.decoderResult().isFailure()) {
+			return;
+		}
+		if (containsStatusLine(response)) {
+			this.discarding = true;
+			report(context, UnmatchedResponse.Reason.MERGED, response.status().code(), received.stream().findFirst());
+			context.close();
 			return;
 		}
 		this.finalResponse = response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
@@ -205,6 +244,14 @@
 		}
 	}
 
+	// The head of a second response that breaks off runs into the head of the next one.
+	private static boolean containsStatusLine(HttpResponse response) {
+		return STATUS_LINE.matcher(response.status().reasonPhrase()).find() || response.headers()
+			.entries()
+			.stream()
+			.anyMatch((header) -> header.getKey().indexOf('/') >= 0 || STATUS_LINE.matcher(header.getValue()).find());
+	}
+
 	// Without an id, only the first response on a connection belongs to a known request.
 	private Optional<UnmatchedResponse.Reason> unmatchedReason(List<String> received) {
 		if (received.isEmpty()) {
@@ -249,9 +296,7 @@
 		ReferenceCountUtil.release(message);
 	}
 
-	// Vert.x closes the connection at the end of the response, before it could be used
-	// for
-	// another request.
+	// Vert.x closes the connection at the end of the response, instead of using it again.
 	private static void closeAfter(HttpResponse response) {
 		List<String> options = new ArrayList<>(List.of(HttpHeaderValues.CLOSE.toString()));
 		options.addAll(response.headers().getAll(HttpHeaderNames.CONNECTION));
@@ -285,4 +330,32 @@
 				this.requests));
 	}
 
+	/**
+	 * Decoder that reports whether bytes follow the end of a response.
+	 */
+	private final class ResponseDecoder extends HttpResponseDecoder {
+
+		ResponseDecoder(HttpClientOptions options) {
+			super(new HttpDecoderConfig().setMaxInitialLineLength(options.getMaxInitialLineLength())
+				.setMaxHeaderSize(options.getMaxHeaderSize())
+				.setMaxChunkSize(options.getMaxChunkSize())
+				.setInitialBufferSize(options.getDecoderInitialBufferSize()));
+		}
+
+		@Override
+		protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
+			int before = messages.size();
+			super.decode(context, bytes, messages);
+			if (messages.size() > before && messages.get(messages.size() - 1) instanceof LastHttpContent) {
+				ResponseCorrelationHandler.this.trailingBytes = bytes.isReadable();
+			}
+		}
+
+		@Override
+		protected boolean isContentAlwaysEmpty(HttpMessage message) {
+			return ResponseCorrelationHandler.this.headRequest || super.isContentAlwaysEmpty(message);
+		}
+
+	}
+
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/UnmatchedResponse.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/UnmatchedResponse.java
@@ -29,8 +29,11 @@
 		 */
 		UNIDENTIFIED,
 
-		/** The response arrived while no request was in progress. */
-		UNSOLICITED
+		/** The response, or a part of it, arrived while no request was in progress. */
+		UNSOLICITED,
+
+		/** The head contains the status line of another response. */
+		MERGED
 
 	}
 
