Search an undelimited body for a status line only, also on the product's path

The pattern for a whole head recursed once for each header line: 20,000 lines overflowed the stack of the event loop and the caller waited for its timeout (its run: 504 after 3005 ms). A second head that broke off, or had unusual header names, was passed on as content. The relay of the product did not look at all. Change: a status line that ends its line or the body is enough; the pattern does not recurse. ResponseRelay fails and resets the caller's connection.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseFraming.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseFraming.java
@@ -11,8 +11,7 @@
  */
 public final class ResponseFraming {
 
-	private static final Pattern HEAD = Pattern
-		.compile("HTTP/1\\.[01] [1-5]\\d\\d[^\\r\\n]*\\r\\n([\\w-]+:[^\\r\\n]*\\r\\n)+\\r\\n");
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5]\\d\\d[^\\r\\n]*+(\\r\\n|\\r?\\z)");
 
 	private ResponseFraming() {
 	}
@@ -31,13 +30,14 @@
 
 	/**
 	 * Return whether a part of a body that is delimited by the end of its connection
-	 * contains the head of a second response.
+	 * contains the status line of a second response.
 	 * @param response the response
 	 * @param body a part of its body
 	 * @return true if a second response follows the first one
 	 */
 	public static boolean containsSecondResponse(HttpClientResponse response, byte[] body) {
-		return endsWithConnection(response) && HEAD.matcher(new String(body, StandardCharsets.ISO_8859_1)).find();
+		return endsWithConnection(response)
+				&& STATUS_LINE.matcher(new String(body, StandardCharsets.ISO_8859_1)).find();
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/ResponseRelay.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/ResponseRelay.java
@@ -1,6 +1,7 @@
 package io.balsamlane.router.service;
 
 import com.google.protobuf.ByteString;
+import io.balsamlane.router.http.ResponseFraming;
 import io.balsamlane.schema.StoredAnswer;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -80,6 +81,17 @@
 	}
 
 	private void receive(Buffer buffer, Promise<StoredAnswer> promise) {
+		if (promise.future().isComplete()) {
+			return;
+		}
+		if (ResponseFraming.containsSecondResponse(this.from, buffer.getBytes())) {
+			promise.tryFail("a second response follows");
+			if (open()) {
+				this.to.reset();
+			}
+			this.from.request().reset();
+			return;
+		}
 		if (!this.omitted && this.stored.length() + buffer.length() <= this.maxStoredBytes) {
 			this.stored.appendBuffer(buffer);
 		}
--- a/balsamlane-router/src/test/java/io/balsamlane/router/service/ResponseRelayTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/service/ResponseRelayTests.java
@@ -81,6 +81,9 @@
 		});
 		socket.closeHandler((ended) -> closed[0] = true);
 		socket.write("HTTP/1.1 200 OK\r\n\r\ncontent");
+		if (this.mode.equals("second")) {
+			socket.write("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+		}
 		if (this.mode.equals("endless")) {
 			flood(socket, closed);
 			return;
@@ -155,4 +158,21 @@
 		assertThat(this.sentBytes.get()).isLessThan(MAX_SENT_BYTES);
 	}
 
+	@Test
+	void secondResponseWithinAnswerWithoutLengthIsNeitherRelayedNorStored() throws Exception {
+		this.mode = "second";
+		StringBuilder received = new StringBuilder();
+		try (Socket socket = call()) {
+			InputStream in = socket.getInputStream();
+			for (int value = in.read(); value >= 0; value = in.read()) {
+				received.append((char) value);
+			}
+		}
+		catch (java.net.SocketException ex) {
+			// A reset shows that the answer is incomplete.
+		}
+		assertThat(received.toString()).doesNotContain("second").doesNotEndWith("0\r\n\r\n");
+		assertThatExceptionOfType(ExecutionException.class).isThrownBy(() -> await(this.relayed.future()));
+	}
+
 }
