Limit the wait only after responses that no earlier request explains

A head is searched for another status line only where an earlier request can have left one. Two attempts of a call on the product's path do not share a connection either. A closed connection does not end mayCarry with an exception; its state is safe to read from other event loops. Dropped informational responses are limited in number, and 101 closes the connection.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelation.java
@@ -88,10 +88,11 @@
 	 * request with this id
 	 */
 	public static boolean mayCarry(HttpClientRequest request, String id) {
-		return ((ConnectionBase) request.connection()).channel()
+		ResponseCorrelationHandler handler = ((ConnectionBase) request.connection()).channel()
 			.pipeline()
-			.get(ResponseCorrelationHandler.class)
-			.mayCarry(id);
+			.get(ResponseCorrelationHandler.class);
+		// The handlers of a closed connection have been removed.
+		return handler != null && handler.mayCarry(id);
 	}
 
 	// Vert.x matches responses to requests by their order only and has no API to observe
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
@@ -1,12 +1,12 @@
 package io.balsamlane.router.http;
 
 import java.io.IOException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -47,8 +47,8 @@
 	private static final int MAX_DISCARDED_BYTES = 1 << 20;
 
 	/**
-	 * Time that a request waits for its own response after one that was discarded: a few
-	 * times the latency target of plain calls.
+	 * Time that a request waits for its own response after one that cannot be shown to
+	 * belong to an earlier request.
 	 */
 	private static final long OWN_RESPONSE_WAIT_MILLIS = 1000;
 
@@ -85,16 +85,20 @@
 
 	private List<String> expectedIds = List.of();
 
-	private final Deque<String> carriedIds = new ArrayDeque<>();
+	private final Queue<String> carriedIds = new ConcurrentLinkedQueue<>();
 
-	private boolean retired;
+	private volatile boolean retired;
 
 	private boolean finalResponse;
 
 	private boolean attributed;
 
 	/** Whether the server has sent a response that was not attributed. */
-	private boolean unmatched;
+	private volatile boolean unmatched;
+
+	private boolean waitLimited;
+
+	private int droppedInformational;
 
 	private boolean discarding;
 
@@ -149,7 +153,7 @@
 	@Override
 	public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
 		if (message instanceof HttpRequest request) {
-			if (this.retired) {
+			if (this.retired || this.unmatched) {
 				ReferenceCountUtil.release(message);
 				promise.tryFailure(new IOException("The server sent bytes after its response"));
 				context.close();
@@ -180,7 +184,7 @@
 	 * @return false if the connection is about to be closed or has carried the id
 	 */
 	boolean mayCarry(String id) {
-		return !this.retired && !this.carriedIds.contains(id);
+		return !this.retired && !this.unmatched && !this.carriedIds.contains(id);
 	}
 
 	// A caller may send several ids; a server may echo any of them.
@@ -219,7 +223,7 @@
 		if (response.decoderResult().isFailure()) {
 			return;
 		}
-		if (containsStatusLine(response)) {
+		if (this.requests > 1 && containsStatusLine(response)) {
 			this.discarding = true;
 			report(context, UnmatchedResponse.Reason.MERGED, response.status().code(), received.stream().findFirst());
 			context.close();
@@ -228,12 +232,16 @@
 		this.finalResponse = response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
 		if (!this.finalResponse) {
 			this.discarding = !PASSED_ON.contains(response.status().code());
+			if (this.discarding && (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)
+					|| ++this.droppedInformational > InformationalResponses.MAX_RESPONSES)) {
+				context.close();
+			}
 			return;
 		}
 		Optional<UnmatchedResponse.Reason> reason = unmatchedReason(received);
 		if (reason.isPresent()) {
 			report(context, reason.get(), response.status().code(), received.stream().findFirst());
-			discardResponse(context, response);
+			discardResponse(context, response, !received.isEmpty() && this.carriedIds.containsAll(received));
 			return;
 		}
 		this.attributed = true;
@@ -262,21 +270,22 @@
 				: Optional.of(UnmatchedResponse.Reason.OTHER_REQUEST);
 	}
 
-	private void discardResponse(ChannelHandlerContext context, HttpResponse response) {
+	private void discardResponse(ChannelHandlerContext context, HttpResponse response, boolean ofEarlierRequest) {
 		this.unmatched = true;
 		this.discarding = true;
 		this.discardedBytes = 0;
 		// The end of such a response cannot be told from the response that follows it.
 		if (!isSelfDelimited(response) || this.headRequestSent) {
 			context.close();
-			return;
 		}
-		int request = this.requests;
-		context.executor().schedule(() -> {
-			if (this.requestInProgress && this.requests == request && !this.attributed) {
-				context.close();
-			}
-		}, OWN_RESPONSE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		else if (!ofEarlierRequest && !this.waitLimited) {
+			this.waitLimited = true;
+			context.executor().schedule(() -> {
+				if (!this.attributed) {
+					context.close();
+				}
+			}, OWN_RESPONSE_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		}
 	}
 
 	private static boolean isSelfDelimited(HttpResponse response) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/service/ServiceAttempt.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/service/ServiceAttempt.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 
 import io.balsamlane.router.http.RequestIdClients;
+import io.balsamlane.router.http.ResponseCorrelation;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
@@ -49,6 +50,12 @@
 				opened.reset();
 				return;
 			}
+			if (!ResponseCorrelation.mayCarry(opened, requestId)) {
+				opened.reset();
+				opened.connection().close();
+				start(request, requestId, uri, body);
+				return;
+			}
 			this.outgoing = opened;
 			opened.response().onComplete((answer) -> {
 				if (answer.succeeded()) {
--- a/balsamlane-router/src/test/java/io/balsamlane/router/engine/EngineObserverTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/engine/EngineObserverTests.java
@@ -84,6 +84,8 @@
 	void responsesAreAppliedInOrderOfPolls() throws Exception {
 		waitUntil(() -> this.loadPolls.get() > 2 * SLOW_POLL && this.eventPolls.get() > 2 * SLOW_POLL);
 		await(this.vertx.timer(2 * SLOW_MILLIS));
+		assertThat(this.loadPolls).hasValueGreaterThan(2 * SLOW_POLL);
+		assertThat(this.eventPolls).hasValueGreaterThan(2 * SLOW_POLL);
 		assertThat(this.loads).isNotEmpty().isSorted().doesNotHaveDuplicates();
 		assertThat(this.events).isNotEmpty().isSorted().doesNotHaveDuplicates();
 	}
