--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingConfiguration.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingConfiguration.java
@@ -10,7 +10,7 @@
 import java.util.stream.Collectors;
 
 /**
- * An accepted version of the routes, services and limits. Immutable.
+ * An accepted version of the routes, services, limits and customers. Immutable.
  */
 public final class ForwardingConfiguration {
 
@@ -22,16 +22,19 @@
 
 	private final CallerLimits limits;
 
+	private final CustomerDirectory customers;
+
 	private ForwardingConfiguration(long version, Map<String, List<ForwardingRoute>> routesByHost,
-			Map<String, ForwardedService> services, CallerLimits limits) {
+			Map<String, ForwardedService> services, CallerLimits limits, CustomerDirectory customers) {
 		this.version = version;
 		this.routesByHost = routesByHost;
 		this.services = services;
 		this.limits = limits;
+		this.customers = customers;
 	}
 
 	/**
-	 * Create a configuration.
+	 * Create a configuration without customers.
 	 * @param version version of the configuration, above 0
 	 * @param routes the routes
 	 * @param services the services
@@ -40,6 +43,20 @@
 	 */
 	public static ForwardingConfiguration of(long version, List<ForwardingRoute> routes,
 			List<ForwardedService> services, CallerLimits limits) {
+		return of(version, routes, services, limits, CustomerDirectory.empty());
+	}
+
+	/**
+	 * Create a configuration.
+	 * @param version version of the configuration, above 0
+	 * @param routes the routes
+	 * @param services the services
+	 * @param limits the limits for callers
+	 * @param customers the customers and their API keys
+	 * @return the configuration
+	 */
+	public static ForwardingConfiguration of(long version, List<ForwardingRoute> routes,
+			List<ForwardedService> services, CallerLimits limits, CustomerDirectory customers) {
 		if (version < 1) {
 			throw new IllegalArgumentException("Configuration version " + version + " is not above 0");
 		}
@@ -51,7 +68,7 @@
 			.collect(Collectors.groupingBy((route) -> route.host().toLowerCase(Locale.ROOT)));
 		return new ForwardingConfiguration(version, Map.copyOf(byHost),
 				services.stream().collect(Collectors.toUnmodifiableMap(ForwardedService::name, Function.identity())),
-				limits);
+				limits, customers);
 	}
 
 	/**
@@ -70,6 +87,33 @@
 		return this.limits;
 	}
 
+	/**
+	 * Return the customers.
+	 * @return the customers and their API keys, empty if callers need no key
+	 */
+	public CustomerDirectory customers() {
+		return this.customers;
+	}
+
+	/**
+	 * Identify the sender of a request.
+	 * @param route route of the request
+	 * @param bearerKey the API key as received in a header, empty if the request does not
+	 * have exactly one
+	 * @return the customer, or the reason why there is none
+	 */
+	public CallerIdentity identify(ForwardingRoute route, Optional<String> bearerKey) {
+		if (this.customers.isEmpty()) {
+			return new CallerIdentity.Unrestricted();
+		}
+		if (route.publicAccess()) {
+			return new CallerIdentity.Anonymous();
+		}
+		return bearerKey.flatMap(this.customers::identify)
+			.<CallerIdentity>map(CallerIdentity.Identified::new)
+			.orElse(new CallerIdentity.Unknown(bearerKey.isPresent()));
+	}
+
 	/**
 	 * Find the route of a request, which is the route of the host with the longest
 	 * matching prefix.
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingRoute.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingRoute.java
@@ -19,9 +19,12 @@
  * @param maxAttempts maximum number of servers to which one request may be sent
  * @param pauseTargetMillis target for the longest pause between events of a stream, in
  * milliseconds, 0 if there is none
+ * @param publicAccess whether requests need no API key where the configuration has
+ * customers
  */
 public record ForwardingRoute(String name, String host, String prefix, RequestKind kind, long timeoutMillis,
-		long targetMillis, int priority, List<WeightedService> targets, int maxAttempts, long pauseTargetMillis) {
+		long targetMillis, int priority, List<WeightedService> targets, int maxAttempts, long pauseTargetMillis,
+		boolean publicAccess) {
 
 	/**
 	 * Minimum time for which callers of a stream wait for an event, as defined by the
@@ -44,6 +47,27 @@
 		}
 	}
 
+	/**
+	 * Create a route without public access.
+	 * @param name unique name of the route
+	 * @param host value of the Host header, without port
+	 * @param prefix path prefix, starting and ending with a slash
+	 * @param kind whether requests may be retried, and the form of the response
+	 * @param timeoutMillis time limit for the complete response, in milliseconds
+	 * @param targetMillis target time for the response or the first event, in
+	 * milliseconds
+	 * @param priority priority of the requests, 0 being the highest
+	 * @param targets the services, at least one
+	 * @param maxAttempts maximum number of servers to which one request may be sent
+	 * @param pauseTargetMillis target for the longest pause between events, in
+	 * milliseconds, 0 if there is none
+	 */
+	public ForwardingRoute(String name, String host, String prefix, RequestKind kind, long timeoutMillis,
+			long targetMillis, int priority, List<WeightedService> targets, int maxAttempts, long pauseTargetMillis) {
+		this(name, host, prefix, kind, timeoutMillis, targetMillis, priority, targets, maxAttempts, pauseTargetMillis,
+				false);
+	}
+
 	/**
 	 * Return the time without an event after which callers abort a stream.
 	 * @return the time in milliseconds
