Identify customers and name them to servers

Cause: where the configuration has customers, a request needs a key, and servers are told the customer's name. Change: FrontServer identifies the caller when the head has been read (401 with the kind unknown-key); RequestCaller identifies it again by the configuration in force at each send, in ServerCall once the connection is open. The customer's priority replaces the route's. The key and a name sent by the caller are removed.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/ErrorKind.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/ErrorKind.java
@@ -76,6 +76,9 @@
 	/** This router has not yet received its configuration or list of servers. */
 	NOT_CONFIGURED(503, "Send the request again after the given time"),
 
+	/** The request has no API key, or one that identifies no customer. */
+	UNKNOWN_KEY(401, "Send exactly one Authorization header with a valid API key, or ask an operator for one"),
+
 	/** The request lacks a header that the platform requires. */
 	MISSING_HEADER(400, "Send the request id that the platform requires"),
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
@@ -19,6 +19,8 @@
  */
 public record Refusal(int status, String kind, Ran ran, String detail, String remedy, int retryAfterMillis) {
 
+	private static final int UNAUTHORIZED = 401;
+
 	private static final int BAD_GATEWAY = 502;
 
 	private static final int UNAVAILABLE = 503;
@@ -150,6 +152,10 @@
 		if (this.retryAfterMillis > 0) {
 			response.putHeader("Retry-After", retryAfter.apply(this.retryAfterMillis));
 		}
+		if (this.status == UNAUTHORIZED) {
+			// Required by RFC 9110, section 15.5.2.
+			response.putHeader("WWW-Authenticate", "Bearer");
+		}
 		response.setStatusCode(this.status)
 			.putHeader("content-type", "application/problem+json")
 			.end(toJson().encode());
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
@@ -41,6 +41,8 @@
 	 */
 	private static final double RETRY_SPREAD = 0.5;
 
+	private static final String KEY_WITHDRAWN = "the configuration in force does not contain the key of the request";
+
 	private final ForwardingContext context;
 
 	private final HttpServerRequest request;
@@ -51,6 +53,8 @@
 
 	private final ForwardedService service;
 
+	private final RequestCaller caller;
+
 	private final Buffer body;
 
 	private final RequestAttempts attempts;
@@ -66,12 +70,13 @@
 	private boolean done;
 
 	ForwardedExchange(ForwardingContext context, HttpServerRequest request, RequestMetadata metadata,
-			ForwardingRoute route, ForwardedService service, Buffer body, long startNanos) {
+			ForwardingRoute route, ForwardedService service, RequestCaller caller, Buffer body, long startNanos) {
 		this.context = context;
 		this.request = request;
 		this.metadata = metadata;
 		this.route = route;
 		this.service = service;
+		this.caller = caller;
 		this.body = body;
 		this.traits = RequestTraits.of(CrashGuard.fingerprint(request, body), metadata);
 		this.startNanos = startNanos;
@@ -149,7 +154,8 @@
 
 	/**
 	 * Refuse a request that has not run and will not run. If it may have run, fail it
-	 * instead.
+	 * instead. If it needs a key that the configuration in force does not contain, that
+	 * is reported in place of the given error.
 	 * @param kind kind of the error
 	 * @param detail what went wrong
 	 * @param retryAfterMillis time after which the caller may retry, in milliseconds; 0
@@ -160,6 +166,11 @@
 			fail(ErrorKind.SERVER_BROKE, detail);
 			return;
 		}
+		if (!this.caller.allowed()) {
+			this.context.metrics().count("keys_rejected_total", "withdrawn");
+			send(Refusal.of(ErrorKind.UNKNOWN_KEY, Ran.NO, KEY_WITHDRAWN));
+			return;
+		}
 		double spread = 1 + RETRY_SPREAD * ThreadLocalRandom.current().nextDouble();
 		int millis = (int) (((retryAfterMillis > 0) ? retryAfterMillis : DEFAULT_RETRY_AFTER_MILLIS) * spread);
 		send(Refusal.withRetry(kind, Ran.NO, detail, millis));
@@ -199,6 +210,28 @@
 		return this.done;
 	}
 
+	/**
+	 * End the request if it needs a key that the configuration in force does not contain,
+	 * which may have been applied since its start.
+	 * @return true if the request has ended
+	 */
+	final boolean refuseIfKeyWithdrawn() {
+		if (!this.done && !this.caller.allowed()) {
+			refuse(ErrorKind.UNKNOWN_KEY, KEY_WITHDRAWN, 0);
+		}
+		return this.done;
+	}
+
+	/**
+	 * Return whether an attempt ended without a fault of its server, because the caller's
+	 * key was withdrawn before the request was sent.
+	 * @param outcome outcome of the attempt
+	 * @return true if the outcome says nothing about the server
+	 */
+	final boolean isWithdrawn(AttemptOutcome outcome) {
+		return outcome instanceof AttemptOutcome.NotSent && !this.caller.allowed();
+	}
+
 	private void send(Refusal refusal) {
 		if (finish(refusal.kind(), refusal.status())) {
 			HttpServerResponse response = this.request.response();
@@ -257,7 +290,7 @@
 	 * @param fields alternating names and values
 	 */
 	final void log(String event, Object... fields) {
-		this.context.log().log(event, this.metadata.requestId(), fields);
+		this.context.log().log(event, this.metadata.requestId(), this.caller.logFields(fields));
 	}
 
 	/**
@@ -333,6 +366,10 @@
 		return this.service;
 	}
 
+	final RequestCaller caller() {
+		return this.caller;
+	}
+
 	final Buffer body() {
 		return this.body;
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingDialect.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import io.balsamlane.core.forwarding.RequestMetadata;
+import io.balsamlane.core.model.CustomerId;
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.ServerName;
 import io.vertx.core.MultiMap;
@@ -28,6 +29,21 @@
 	 */
 	Optional<RequestMetadata> metadata(MultiMap headers);
 
+	/**
+	 * Read the API key of a request.
+	 * @param headers headers of the request
+	 * @return the key with one character for each byte, empty unless the request has
+	 * exactly one well-formed key
+	 */
+	Optional<String> bearerKey(MultiMap headers);
+
+	/**
+	 * Remove what the caller sent to identify itself and name the customer instead.
+	 * @param to headers of the request to the server
+	 * @param customer the customer, empty if the request is not attributed to any
+	 */
+	void replaceCredentials(MultiMap to, Optional<CustomerId> customer);
+
 	/**
 	 * Write the headers of a request to a backend server.
 	 * @param from headers of the caller's request
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -105,8 +105,12 @@
 			return false;
 		}
 		this.log.log("configuration-applied", "", "version", next.version(), "previous",
-				(this.configuration != null) ? this.configuration.version() : 0, "routes", next.routeCount(), "source",
-				source);
+				(this.configuration != null) ? this.configuration.version() : 0, "routes", next.routeCount(),
+				"customers", next.customers().size(), "keys", next.customers().keyCount(), "source", source);
+		next.customers()
+			.problems()
+			.forEach((problem) -> this.log.log("customer-configuration-error", "", "version", next.version(), "problem",
+					problem));
 		this.configuration = next;
 		this.configurationNanos = System.nanoTime();
 		return true;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import io.balsamlane.core.forwarding.CallerIdentity;
 import io.balsamlane.core.forwarding.ForwardedService;
 import io.balsamlane.core.forwarding.ForwardingConfiguration;
 import io.balsamlane.core.forwarding.ForwardingRoute;
@@ -192,32 +193,58 @@
 			refuse(request, Refusal.of(ErrorKind.UNKNOWN_ROUTE, Ran.NO, "no route matches the host and path"));
 			return;
 		}
+		RequestCaller caller = RequestCaller.identify(this.context.state(), this.context.dialect(), request,
+				route.get());
+		if (caller.identity() instanceof CallerIdentity.Unknown unknown) {
+			refuseUnknownCaller(request, unknown);
+			return;
+		}
 		Optional<RequestMetadata> metadata = this.context.dialect().metadata(request.headers());
 		if (metadata.isEmpty()) {
-			refuse(request, Refusal.of(ErrorKind.MISSING_HEADER, Ran.NO, "the request has no id"));
+			refuse(request, caller, Refusal.of(ErrorKind.MISSING_HEADER, Ran.NO, "the request has no id"));
 			return;
 		}
 		String service = route.get().service(ThreadLocalRandom.current().nextDouble());
 		Optional<ForwardedService> known = configuration.get().service(service);
 		if (known.isEmpty()) {
-			refuse(request, Refusal.withRetry(ErrorKind.NO_SERVER, Ran.NO, "the route's service is not configured",
-					RETRY_AFTER_MILLIS));
+			refuse(request, caller, Refusal.withRetry(ErrorKind.NO_SERVER, Ran.NO,
+					"the route's service is not configured", RETRY_AFTER_MILLIS));
 			return;
 		}
-		long maxBodyBytes = configuration.get().limits().maxBodyBytes();
+		receive(request, caller, metadata.get(), route.get(), known.get(), startNanos);
+	}
+
+	private void refuseUnknownCaller(HttpServerRequest request, CallerIdentity.Unknown unknown) {
+		this.context.metrics().count("keys_rejected_total", unknown.keyPresent() ? "unknown" : "missing");
+		refuse(request, Refusal.of(ErrorKind.UNKNOWN_KEY, Ran.NO, unknown.keyPresent()
+				? "the API key identifies no customer" : "the request does not have exactly one well-formed API key"));
+	}
+
+	// Reads the body of a request whose caller has been identified, and starts it.
+	private void receive(HttpServerRequest request, RequestCaller caller, RequestMetadata metadata,
+			ForwardingRoute route, ForwardedService service, long startNanos) {
+		long maxBodyBytes = this.context.state().configuration().orElseThrow().limits().maxBodyBytes();
 		Admission admission = new Admission(request);
-		read(admission, maxBodyBytes,
-				(body) -> start(admission, metadata.get(), route.get(), known.get(), body, startNanos));
+		read(admission, maxBodyBytes, (body) -> start(admission, caller, metadata, route, service, body, startNanos));
 	}
 
 	private void refuse(HttpServerRequest request, Refusal refusal) {
+		refuse(request, Optional.empty(), refusal);
+	}
+
+	private void refuse(HttpServerRequest request, RequestCaller caller, Refusal refusal) {
+		refuse(request, Optional.of(caller), refusal);
+	}
+
+	private void refuse(HttpServerRequest request, Optional<RequestCaller> caller, Refusal refusal) {
+		Object[] fields = { "kind", refusal.kind(), "status", refusal.status(), "path", request.path(), "detail",
+				refusal.detail(), "configuration",
+				this.context.state().configuration().map(ForwardingConfiguration::version).orElse(0L) };
 		this.context.metrics().count("requests_total", refusal.kind());
 		this.context.log()
 			.log("request-refused",
 					this.context.dialect().metadata(request.headers()).map(RequestMetadata::requestId).orElse(""),
-					"kind", refusal.kind(), "status", refusal.status(), "path", request.path(), "detail",
-					refusal.detail(), "configuration",
-					this.context.state().configuration().map(ForwardingConfiguration::version).orElse(0L));
+					caller.map((known) -> known.logFields(fields)).orElse(fields));
 		if (this.context.state().draining()) {
 			request.response().putHeader("Connection", "close");
 		}
@@ -252,25 +279,25 @@
 		});
 	}
 
-	private void start(Admission admission, RequestMetadata metadata, ForwardingRoute route, ForwardedService service,
-			Buffer body, long startNanos) {
+	private void start(Admission admission, RequestCaller caller, RequestMetadata metadata, ForwardingRoute route,
+			ForwardedService service, Buffer body, long startNanos) {
 		HttpServerRequest request = admission.request;
 		if (this.context.crashGuard()
 			.isQuarantined(RequestTraits.of(CrashGuard.fingerprint(request, body), metadata))) {
-			refuse(request, Refusal.quarantined(Ran.NO));
+			refuse(request, caller, Refusal.quarantined(Ran.NO));
 			return;
 		}
 		if (!this.context.state()
 			.shutdown()
 			.map((schedule) -> schedule.accepts(route, System.nanoTime()))
 			.orElse(true)) {
-			refuse(request, Refusal.withRetry(ErrorKind.SHUTTING_DOWN, Ran.NO,
+			refuse(request, caller, Refusal.withRetry(ErrorKind.SHUTTING_DOWN, Ran.NO,
 					"this router exits before the request could end", RETRY_AFTER_MILLIS));
 			return;
 		}
 		admission.exchange = route.kind().streams()
-				? new StreamExchange(this.context, request, metadata, route, service, body, startNanos)
-				: new PlainExchange(this.context, request, metadata, route, service, body, startNanos);
+				? new StreamExchange(this.context, request, metadata, route, service, caller, body, startNanos)
+				: new PlainExchange(this.context, request, metadata, route, service, caller, body, startNanos);
 		this.exchanges.add(admission.exchange);
 		admission.exchange.start();
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/PlainExchange.java
@@ -45,13 +45,13 @@
 	private boolean counted;
 
 	PlainExchange(ForwardingContext context, HttpServerRequest request, RequestMetadata metadata, ForwardingRoute route,
-			ForwardedService service, Buffer body, long startNanos) {
-		super(context, request, metadata, route, service, body, startNanos);
+			ForwardedService service, RequestCaller caller, Buffer body, long startNanos) {
+		super(context, request, metadata, route, service, caller, body, startNanos);
 	}
 
 	@Override
 	void attempt() {
-		if (refuseIfQuarantined()) {
+		if (refuseIfKeyWithdrawn() || refuseIfQuarantined()) {
 			return;
 		}
 		List<ListedServer> usable = context().state().usable(service().name());
@@ -76,7 +76,7 @@
 		this.counted = true;
 		context().state().replicas().started(chosen.get(), this.callNumber, nowNanos);
 		logChoice("server-chosen", this.server, usable.size() + " usable");
-		this.call = new ServerCall(context(), this.server, this::answered, this::ended);
+		this.call = new ServerCall(context(), this.server, caller(), this::answered, this::ended);
 		this.call.start(request(), metadata().requestId(), body(), remainingMillis(), (headers) -> {
 		});
 	}
@@ -126,7 +126,8 @@
 			return;
 		}
 		recordBrokenAttempt(this.server, outcome, 0, 0, this.attemptNanos);
-		release((outcome instanceof AttemptOutcome.NotRun) ? Result.ABANDONED : Result.FAILED);
+		boolean unaffected = outcome instanceof AttemptOutcome.NotRun || isWithdrawn(outcome);
+		release(unaffected ? Result.ABANDONED : Result.FAILED);
 		NextStep step = attempts().ended(outcome, hasTimeForAttempt());
 		log("attempt-ended", "server", this.server.name(), "outcome", outcome, "next", step);
 		context().metrics().count("attempts_failed_total", outcome.getClass().getSimpleName());
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -32,6 +32,8 @@
 
 	private final ListedServer server;
 
+	private final RequestCaller caller;
+
 	private final Consumer<AttemptOutcome> failureListener;
 
 	private final Consumer<HttpClientResponse> responseListener;
@@ -42,10 +44,11 @@
 
 	private boolean ended;
 
-	ServerCall(ForwardingContext context, ListedServer server, Consumer<HttpClientResponse> responseListener,
-			Consumer<AttemptOutcome> failureListener) {
+	ServerCall(ForwardingContext context, ListedServer server, RequestCaller caller,
+			Consumer<HttpClientResponse> responseListener, Consumer<AttemptOutcome> failureListener) {
 		this.context = context;
 		this.server = server;
+		this.caller = caller;
 		this.responseListener = responseListener;
 		this.failureListener = failureListener;
 	}
@@ -78,6 +81,11 @@
 				fail(new AttemptOutcome.NotSent("the server has become unusable"));
 				return;
 			}
+			if (!this.caller.allowed()) {
+				this.outgoing.reset();
+				fail(new AttemptOutcome.NotSent("the configuration in force does not contain the caller's key"));
+				return;
+			}
 			if (!ResponseCorrelation.mayCarry(this.outgoing, requestId)) {
 				this.outgoing.reset();
 				this.outgoing.connection().close();
@@ -86,6 +94,7 @@
 			}
 			this.context.dialect()
 				.writeRequestHeaders(request.headers(), this.outgoing.headers(), this.server.name(), remainingMillis);
+			this.caller.writeHeaders(this.outgoing.headers());
 			attemptHeaders.accept(this.outgoing.headers());
 			this.outgoing.response().onComplete((response) -> {
 				if (response.failed()) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -111,8 +111,8 @@
 	private boolean resumed;
 
 	StreamExchange(ForwardingContext context, HttpServerRequest request, RequestMetadata metadata,
-			ForwardingRoute route, ForwardedService service, Buffer body, long startNanos) {
-		super(context, request, metadata, route, service, body, startNanos);
+			ForwardingRoute route, ForwardedService service, RequestCaller caller, Buffer body, long startNanos) {
+		super(context, request, metadata, route, service, caller, body, startNanos);
 		this.failures = new EngineFailures(context, metadata.requestId());
 		this.lastEventId = metadata.lastEventId();
 	}
@@ -123,11 +123,11 @@
 
 	@Override
 	void attempt() {
-		if (refuseIfQuarantined()) {
+		if (refuseIfKeyWithdrawn() || refuseIfQuarantined()) {
 			return;
 		}
 		// An interrupted stream does not queue behind those that have not started.
-		boolean behind = !this.headSent && context().waiting().anyAhead(service().name(), route().priority());
+		boolean behind = !this.headSent && context().waiting().anyAhead(service().name(), caller().priority());
 		if (behind || !place(this, false)) {
 			await();
 		}
@@ -140,7 +140,7 @@
 		log("waiting", "waiting", context().waiting().size(), "longest_millis",
 				(times.refuseAtNanos() - nowNanos) / NANOS_PER_MILLI);
 		if (times.expired(nowNanos)
-				|| !context().waiting().add(service().name(), this, route().priority(), startNanos(), times)) {
+				|| !context().waiting().add(service().name(), this, caller().priority(), startNanos(), times)) {
 			refuse(ErrorKind.OVERLOADED, "all engines are at capacity", RETRY_AFTER_WAIT_MILLIS);
 		}
 	}
@@ -162,7 +162,7 @@
 	 * ended
 	 */
 	static boolean place(StreamExchange stream, boolean late) {
-		return stream.isDone() || stream.place(late ? MAX_FILL_WHEN_LATE : MAX_FILL);
+		return stream.refuseIfKeyWithdrawn() || stream.place(late ? MAX_FILL_WHEN_LATE : MAX_FILL);
 	}
 
 	private boolean place(double fill) {
@@ -225,7 +225,7 @@
 		this.prefillAssignment = context().state()
 			.engines()
 			.assign(engine, metadata().promptTokens(), metadata().promptTokens());
-		this.prefillCall = new ServerCall(context(), engine,
+		this.prefillCall = new ServerCall(context(), engine, caller(),
 				(serverResponse) -> prefilled(engine, then, serverResponse),
 				(outcome) -> prefillFailed(engine, outcome));
 		startTimeout(() -> {
@@ -236,7 +236,7 @@
 		});
 		this.prefillCall.start(request(), metadata().requestId(), body(), remainingMillis(), (headers) -> {
 			context().dialect().prefillOnly(headers);
-			context().dialect().priority(headers, route().priority());
+			context().dialect().priority(headers, caller().priority());
 		});
 	}
 
@@ -297,7 +297,9 @@
 		if (isDone()) {
 			return;
 		}
-		this.failures.prefillFailed(engine, outcome);
+		if (!isWithdrawn(outcome)) {
+			this.failures.prefillFailed(engine, outcome);
+		}
 		recordBrokenAttempt(engine, outcome, this.lastEventId, 0, this.attemptNanos);
 		this.excluded.add(engine.name());
 		this.failedPrefills++;
@@ -324,12 +326,12 @@
 		this.decodeNanos = System.nanoTime();
 		attempts().started(engine.name());
 		this.excluded.add(engine.name());
-		this.decodeCall = new ServerCall(context(), engine, this::streaming, this::decodeEnded);
+		this.decodeCall = new ServerCall(context(), engine, caller(), this::streaming, this::decodeEnded);
 		if (attempts().mayFailOver()) {
 			startTimeout(EVENT_TIMEOUT_MILLIS, () -> decodeTimedOut("timed out waiting for the first event"));
 		}
 		this.decodeCall.start(request(), metadata().requestId(), body(), remainingMillis(), (headers) -> {
-			context().dialect().priority(headers, route().priority());
+			context().dialect().priority(headers, caller().priority());
 			if (source != null) {
 				context().dialect().kvSource(headers, source.engine().server().endpoint(), source.handle());
 			}
@@ -496,7 +498,9 @@
 		if (isDone()) {
 			return;
 		}
-		this.failures.decodeFailed(engine, source, engineLimits(), outcome);
+		if (!isWithdrawn(outcome)) {
+			this.failures.decodeFailed(engine, source, engineLimits(), outcome);
+		}
 		recordBrokenAttempt(engine, outcome, this.lastEventId, this.serverEvents, this.decodeNanos);
 		NextStep step = attempts().ended(outcome, hasTimeForAttempt());
 		log("attempt-ended", "server", engine.name(), "outcome", outcome, "next", step, "last_event", this.lastEventId,
