--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 import io.balsamlane.core.forwarding.CallerIdentity;
 import io.balsamlane.core.forwarding.ForwardedService;
@@ -118,12 +119,22 @@
 		this.context.metrics().gauge("waiting_streams", () -> this.context.waiting().size());
 		this.context.metrics().gauge("buffered_bytes", () -> this.bufferedBytes);
 		this.context.metrics().gauge("quarantine_entries", () -> this.context.crashGuard().quarantinedCount());
+		this.context.metrics()
+			.gauge("configuration_version", () -> configurationValue(ForwardingConfiguration::version));
+		this.context.metrics()
+			.gauge("customers", () -> configurationValue((configuration) -> configuration.customers().size()));
+		this.context.metrics()
+			.gauge("customer_keys", () -> configurationValue((configuration) -> configuration.customers().keyCount()));
 		this.context.metrics().gauge("list_age_seconds", () -> this.context.state().serversAgeMillis() / 1e3);
 		return this.callers.listen(front.port(), front.address())
 			.compose((listening) -> this.readiness.listen(ready.port(), ready.address()))
 			.mapEmpty();
 	}
 
+	private Number configurationValue(Function<ForwardingConfiguration, Number> value) {
+		return this.context.state().configuration().map(value).orElse(0);
+	}
+
 	/**
 	 * Serve metrics at a separate address. The router works without them, so a failure is
 	 * only logged.
