--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ApiKeyDigest.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ApiKeyDigest.java
@@ -6,8 +6,8 @@
 import java.util.HexFormat;
 
 /**
- * SHA-256 digest of an API key. Keys are compared by their digests, so that neither the
- * time of a comparison nor a dump of the heap reveals a configured key.
+ * SHA-256 digest of an API key. Keys are compared by their digests, so that the time of a
+ * comparison does not depend on how much of a key is right.
  *
  * @param hex the digest in lower-case hexadecimal
  */
