Do not relay heartbeats of servers that change only a counter

The reader of a region compares what a router reads from an entry. Followers are answered when that changes, or after 800 ms. The loops over servers and members that each request and each listed server runs use no streams.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerNotices.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerNotices.java
@@ -69,7 +69,7 @@
 	}
 
 	boolean isLeaving(ListedServer server) {
-		Notice notice = this.notices.get(Incarnation.of(server));
+		Notice notice = find(server);
 		return notice != null && notice.leaving;
 	}
 
@@ -80,11 +80,16 @@
 	 * @return the time in milliseconds, rounded up, 0 if it accepts requests
 	 */
 	long heldBackMillis(ListedServer server, long nowNanos) {
-		Notice notice = this.notices.get(Incarnation.of(server));
+		Notice notice = find(server);
 		return (notice != null && notice.holds(nowNanos))
 				? TimeUnit.NANOSECONDS.toMillis(notice.heldUntilNanos - nowNanos) + 1 : 0;
 	}
 
+	// Each request asks for all servers of its service; most routers have no notices.
+	private Notice find(ListedServer server) {
+		return this.notices.isEmpty() ? null : this.notices.get(Incarnation.of(server));
+	}
+
 	private Notice notice(ListedServer server) {
 		return this.notices.computeIfAbsent(Incarnation.of(server), (key) -> new Notice());
 	}
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
@@ -97,16 +97,18 @@
 		return changed ? List.of(new Change(server, server.server().leaving() ? "draining" : "changed")) : List.of();
 	}
 
+	// A loop without streams, because a start adds all servers one after the other.
 	private List<Change> add(State added) {
 		List<Change> changes = new ArrayList<>();
-		added.excluded = this.states.values().stream().anyMatch((other) -> added.supersededBy(other.listed));
-		this.states.values()
-			.stream()
-			.filter((other) -> !other.excluded && other.supersededBy(added.listed))
-			.forEach((other) -> {
-				other.excluded = true;
-				changes.add(new Change(other.listed, "superseded"));
-			});
+		for (State other : this.states.values()) {
+			if (other.sameEndpoint(added)) {
+				added.excluded |= added.supersededBy(other.listed);
+				if (!other.excluded && other.supersededBy(added.listed)) {
+					other.excluded = true;
+					changes.add(new Change(other.listed, "superseded"));
+				}
+			}
+		}
 		this.states.put(added.listed.name(), added);
 		changes.add(new Change(added.listed, added.listed.server().leaving() ? "draining" : "listed"));
 		return changes;
@@ -287,10 +289,13 @@
 			this.listed = listed;
 		}
 
+		boolean sameEndpoint(State other) {
+			return this.listed.server().endpoint().equals(other.listed.server().endpoint());
+		}
+
+		// The server has the same endpoint.
 		boolean supersededBy(ListedServer server) {
-			return !this.listed.name().equals(server.name())
-					&& this.listed.server().endpoint().equals(server.server().endpoint())
-					&& this.listed.startedMillis() < server.startedMillis();
+			return !this.listed.name().equals(server.name()) && this.listed.startedMillis() < server.startedMillis();
 		}
 
 	}
--- a/balsamlane-core/src/main/java/io/balsamlane/core/membership/MemberView.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/membership/MemberView.java
@@ -50,10 +50,19 @@
 	 * @return the owner, empty if no member is eligible
 	 */
 	public Optional<Member> owner(String key, Predicate<Member> eligible) {
-		return this.members.stream()
-			.filter(eligible)
-			.max(Comparator.comparingLong((Member member) -> RendezvousHash.score(member.host().value(), key))
-				.thenComparing(Member::host));
+		// Members are sorted by host: of members with equal scores, the last one wins.
+		Member best = null;
+		long bestScore = 0;
+		for (Member member : this.members) {
+			if (eligible.test(member)) {
+				long score = RendezvousHash.score(member.host().value(), key);
+				if (best == null || score >= bestScore) {
+					best = member;
+					bestScore = score;
+				}
+			}
+		}
+		return Optional.ofNullable(best);
 	}
 
 	/**
--- a/balsamlane-core/src/main/java/io/balsamlane/core/model/Endpoint.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/model/Endpoint.java
@@ -27,6 +27,18 @@
 		return new Endpoint(address, port);
 	}
 
+	// Explicit, because the generated methods call method handles, which the C1 compiler
+	// does not inline.
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof Endpoint that && this.port == that.port && this.address.equals(that.address);
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.address.hashCode() + this.port;
+	}
+
 	@Override
 	public String toString() {
 		return this.address + ":" + this.port;
--- a/balsamlane-core/src/main/java/io/balsamlane/core/model/HostName.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/model/HostName.java
@@ -30,6 +30,18 @@
 		return this.value.compareTo(other.value);
 	}
 
+	// Explicit, because the generated methods call method handles, which the C1 compiler
+	// does not inline.
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof HostName that && this.value.equals(that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiFunction;
 import java.util.function.Supplier;
 
 import com.google.protobuf.ByteString;
@@ -24,7 +25,10 @@
  * region, so that the number of calls to the store does not grow with the number of
  * routers. Revisions are those of the store, so a watch may switch between the reader and
  * the store at any revision. A reader that does not answer, or has had no recent answer
- * from the store itself, is bypassed for some time. Confined to one event loop.
+ * from the store itself, is bypassed for some time. Values that mean the same to a router
+ * as the ones before them are not passed on, so that heartbeats of servers cause neither
+ * messages nor decoding on each router; the revision advances nevertheless. Confined to
+ * one event loop.
  */
 public final class RelayedPrefixStore implements PrefixStore {
 
@@ -71,6 +75,8 @@
 
 	private final Supplier<Optional<HostName>> reader;
 
+	private final BiFunction<String, byte[], Object> meaning;
+
 	private final Listener listener;
 
 	private final Map<String, StoreHistory> histories = new HashMap<>();
@@ -80,11 +86,12 @@
 	private long bypassUntilNanos = System.nanoTime();
 
 	private RelayedPrefixStore(Vertx vertx, PrefixStore store, PeerNetwork peers, Supplier<Optional<HostName>> reader,
-			Listener listener) {
+			BiFunction<String, byte[], Object> meaning, Listener listener) {
 		this.vertx = vertx;
 		this.store = store;
 		this.peers = peers;
 		this.reader = reader;
+		this.meaning = meaning;
 		this.listener = listener;
 	}
 
@@ -95,12 +102,14 @@
 	 * @param peers the network of routers
 	 * @param reader supplies the router that reads the store for this router's region,
 	 * empty if each router reads the store itself
+	 * @param meaning returns what a router reads from the value of a key; a value whose
+	 * meaning equals that of the value before it is not passed on
 	 * @param listener notified when the reader cannot be used
 	 * @return the store
 	 */
 	public static RelayedPrefixStore create(Vertx vertx, PrefixStore store, PeerNetwork peers,
-			Supplier<Optional<HostName>> reader, Listener listener) {
-		return new RelayedPrefixStore(vertx, store, peers, reader, listener);
+			Supplier<Optional<HostName>> reader, BiFunction<String, byte[], Object> meaning, Listener listener) {
+		return new RelayedPrefixStore(vertx, store, peers, reader, meaning, listener);
 	}
 
 	/**
@@ -148,12 +157,15 @@
 	}
 
 	private Future<PrefixRead> watchStore(String prefix, long afterRevision, long waitMillis) {
-		return this.store.watch(prefix, afterRevision, waitMillis).onSuccess((result) -> {
+		return this.store.watch(prefix, afterRevision, waitMillis).map((result) -> {
 			if (result instanceof PrefixRead.Changed changed) {
-				this.histories.computeIfAbsent(prefix, (key) -> new StoreHistory())
+				PrefixRead.Changed meaningful = this.histories
+					.computeIfAbsent(prefix, (key) -> new StoreHistory(this.meaning))
 					.add(afterRevision, changed, System.nanoTime());
 				answerPendingWatches();
+				return meaningful;
 			}
+			return result;
 		});
 	}
 
@@ -170,6 +182,9 @@
 	}
 
 	private void answerPendingWatches() {
+		if (this.pendingWatches.isEmpty()) {
+			return;
+		}
 		long nowNanos = System.nanoTime();
 		List.copyOf(this.pendingWatches)
 			.forEach((entry) -> answer(entry.query(), nowNanos - entry.deadlineNanos() >= 0, nowNanos)
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/StoreHistory.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/StoreHistory.java
@@ -3,7 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
 
 /**
  * History of the latest changes of the keys with one prefix, kept by a router that reads
@@ -23,8 +26,14 @@
 	 */
 	private static final int MAX_VALUE_BYTES = 32 << 10;
 
+	private final BiFunction<String, byte[], Object> meaning;
+
 	private final Deque<Batch> batches = new ArrayDeque<>();
 
+	// Meaning of the latest value of each key that was written since the base revision of
+	// the last reset. A router that has seen all changes up to a revision knows it.
+	private final Map<String, Object> meanings = new HashMap<>();
+
 	// All changes after this revision are available.
 	private long baseRevision;
 
@@ -34,6 +43,15 @@
 
 	private boolean known;
 
+	/**
+	 * Create an empty history.
+	 * @param meaning returns what a router reads from the value of a key; values with the
+	 * same meaning as the one before them are left out
+	 */
+	StoreHistory(BiFunction<String, byte[], Object> meaning) {
+		this.meaning = meaning;
+	}
+
 	/**
 	 * Reset the history to a revision; earlier changes are not known.
 	 * @param atRevision the revision of the view
@@ -41,6 +59,7 @@
 	 */
 	void reset(long atRevision, long nowNanos) {
 		this.batches.clear();
+		this.meanings.clear();
 		this.baseRevision = atRevision;
 		this.revision = atRevision;
 		this.confirmedNanos = nowNanos;
@@ -52,19 +71,31 @@
 	 * @param afterRevision the revision after which the store was watched
 	 * @param changed the result
 	 * @param nowNanos the current monotonic time, in nanoseconds
+	 * @return the result without the values that mean the same as the ones before them
 	 */
-	void add(long afterRevision, PrefixRead.Changed changed, long nowNanos) {
+	PrefixRead.Changed add(long afterRevision, PrefixRead.Changed changed, long nowNanos) {
 		if (!this.known || afterRevision != this.revision) {
 			reset(afterRevision, nowNanos);
 		}
-		if (!changed.changes().isEmpty()) {
-			this.batches.addLast(new Batch(changed.revision(), changed.changes()));
+		List<PrefixRead.Item> changes = changed.changes().stream().filter(this::changesMeaning).toList();
+		if (!changes.isEmpty()) {
+			this.batches.addLast(new Batch(changed.revision(), changes));
 			if (this.batches.size() > MAX_BATCHES) {
 				this.baseRevision = this.batches.removeFirst().revision();
 			}
 		}
 		this.revision = changed.revision();
 		this.confirmedNanos = nowNanos;
+		return new PrefixRead.Changed(changes, changed.revision());
+	}
+
+	private boolean changesMeaning(PrefixRead.Item item) {
+		if (item.removed()) {
+			this.meanings.remove(item.key());
+			return true;
+		}
+		Object next = this.meaning.apply(item.key(), item.value());
+		return !next.equals(this.meanings.put(item.key(), next));
 	}
 
 	/**
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/RelayedPrefixStoreTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/RelayedPrefixStoreTests.java
@@ -83,6 +83,8 @@
 		PeerNetwork network = this.networks.of(self);
 		RelayedPrefixStore relayed = RelayedPrefixStore.create(this.vertx, this.store.forRouter(self.host()), network,
 				() -> Optional.of(READER.host()),
+				// A heartbeat differs from the entry before it after the colon only.
+				(key, value) -> new String(value, StandardCharsets.UTF_8).split(":")[0],
 				(reader, prefix, reason) -> this.bypassingRouters.add(self.host().value()));
 		relayed.start();
 		PrefixWatcher
@@ -120,6 +122,30 @@
 		assertThat(this.bypassingRouters).isEmpty();
 	}
 
+	@Test
+	void heartbeatsAreNotRelayed() throws Exception {
+		runOnEventLoop(() -> this.store.put("a", "a:0"));
+		for (Member member : MEMBERS) {
+			awaitEvent(member.host() + " a:0", MAX_CHANGE_DELAY_MILLIS);
+		}
+		Thread.sleep(1000);
+		long calls = this.networks.calls();
+		for (int beat = 1; beat <= 40; beat++) {
+			String value = "a:" + beat;
+			runOnEventLoop(() -> this.store.put("a", value));
+			Thread.sleep(50);
+		}
+		// A watch of 800 ms with a pause of up to 200 ms: 3 in 2 s. With the heartbeats
+		// it
+		// would be 10.
+		assertThat(this.networks.calls() - calls).isLessThanOrEqualTo(ROUTERS * 4);
+		assertThat(this.events).noneMatch((event) -> event.matches(".* a:[1-9].*"));
+		runOnEventLoop(() -> this.store.put("a", "left:1"));
+		for (Member member : MEMBERS) {
+			awaitEvent(member.host() + " left:1", MAX_CHANGE_DELAY_MILLIS);
+		}
+	}
+
 	@Test
 	void routersThatStartWithTheReaderWaitForItsFirstView() {
 		assertThat(this.bypassedAtStart).isEmpty();
@@ -200,10 +226,13 @@
 		private HostName unresponsiveFor;
 
 		void put(String value) {
+			put(value, value);
+		}
+
+		void put(String key, String value) {
 			this.revision++;
 			this.log.add(new PrefixRead.Changed(
-					List.of(new PrefixRead.Item(PREFIX + value, value.getBytes(StandardCharsets.UTF_8))),
-					this.revision));
+					List.of(new PrefixRead.Item(PREFIX + key, value.getBytes(StandardCharsets.UTF_8))), this.revision));
 			List.copyOf(this.waiting).forEach(Runnable::run);
 		}
 
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/StoreHistoryTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/StoreHistoryTests.java
@@ -1,5 +1,6 @@
 package io.balsamlane.router.store;
 
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.stream.LongStream;
 
@@ -15,7 +16,7 @@
 
 	private static final PrefixRead.HistoryLost HISTORY_LOST = new PrefixRead.HistoryLost();
 
-	private final StoreHistory history = new StoreHistory();
+	private final StoreHistory history = new StoreHistory((key, value) -> value);
 
 	private static PrefixRead.Changed changed(long revision, String... keys) {
 		return new PrefixRead.Changed(
@@ -80,4 +81,50 @@
 		assertThat(this.history.ageNanos(25)).isEqualTo(20);
 	}
 
+	private static PrefixRead.Changed written(long revision, String key, String value) {
+		return new PrefixRead.Changed(List.of(new PrefixRead.Item(key, value.getBytes(StandardCharsets.UTF_8))),
+				revision);
+	}
+
+	private static PrefixRead.Changed removed(long revision, String key) {
+		return new PrefixRead.Changed(List.of(new PrefixRead.Item(key, null)), revision);
+	}
+
+	private static StoreHistory comparingFirstCharacter() {
+		return new StoreHistory((key, value) -> value[0]);
+	}
+
+	@Test
+	void valueWithSameMeaningIsLeftOutButAdvancesRevision() {
+		StoreHistory compared = comparingFirstCharacter();
+		assertThat(compared.add(10, written(11, "a", "x1"), 0).changes()).hasSize(1);
+		assertThat(compared.add(11, written(12, "a", "x2"), 0).changes()).isEmpty();
+		assertThat(compared.changesSince(11)).isEqualTo(new PrefixRead.Changed(List.of(), 12));
+		assertThat(compared.add(12, written(13, "a", "y2"), 0).changes()).hasSize(1);
+	}
+
+	@Test
+	void routerBehindTheLastMeaningfulValueReceivesIt() {
+		StoreHistory compared = comparingFirstCharacter();
+		compared.add(10, written(11, "a", "x1"), 0);
+		compared.add(11, written(12, "a", "x2"), 0);
+		assertThat(((PrefixRead.Changed) compared.changesSince(10)).changes()).extracting(PrefixRead.Item::key)
+			.containsExactly("a");
+	}
+
+	@Test
+	void entryWrittenAgainAfterItsRemovalIsPassedOn() {
+		StoreHistory compared = comparingFirstCharacter();
+		compared.add(10, written(11, "a", "x1"), 0);
+		assertThat(compared.add(11, removed(12, "a"), 0).changes()).hasSize(1);
+		assertThat(compared.add(12, written(13, "a", "x3"), 0).changes()).hasSize(1);
+	}
+
+	@Test
+	void valueIsPassedOnAfterGapInWhichItMayHaveChanged() {
+		StoreHistory compared = comparingFirstCharacter();
+		compared.add(10, written(11, "a", "x1"), 0);
+		assertThat(compared.add(20, written(21, "a", "x5"), 0).changes()).hasSize(1);
+	}
+
 }
