--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/quota/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the decisions on quotas between routers.
+ */
+package io.balsamlane.router.quota;
