Reject requests beyond the quota of their customer

Cause: the quotas of the configuration had no effect. Change: FrontServer requests the tokens when the head has been read and starts the exchange when the body and the decision are there; beyond the quota it sends 429 with Retry-After. Tokens are returned if no server runs the request.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardedExchange.java
@@ -1,6 +1,7 @@
 package io.balsamlane.router.forwarding;
 
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.balsamlane.core.forwarding.AttemptOutcome;
@@ -65,6 +66,10 @@
 
 	private final long deadlineNanos;
 
+	private Optional<QuotaCharge> charge = Optional.empty();
+
+	private boolean prefillSent;
+
 	private long timer = -1;
 
 	private boolean done;
@@ -93,8 +98,10 @@
 
 	/**
 	 * Start the first attempt and the time limit.
+	 * @param charged the tokens of the request, empty if it belongs to no customer
 	 */
-	final void start() {
+	final void start(Optional<QuotaCharge> charged) {
+		this.charge = charged;
 		this.context.state().budget(this.service.name()).recordRequest(System.nanoTime());
 		this.timer = this.context.vertx().setTimer(Math.max(1, remainingMillis()), (id) -> timedOut());
 		this.context.crashGuard().track(this);
@@ -276,6 +283,9 @@
 		this.done = true;
 		this.context.vertx().cancelTimer(this.timer);
 		this.context.crashGuard().untrack(this);
+		if (!this.prefillSent && this.attempts.giveUp() == NextStep.REFUSE) {
+			this.charge.ifPresent(QuotaCharge::giveBack);
+		}
 		long tookNanos = System.nanoTime() - this.startNanos;
 		this.context.metrics().count("requests_total", outcome);
 		this.context.metrics().time("request_" + this.route.kind().name().toLowerCase(Locale.ROOT), tookNanos);
@@ -323,6 +333,14 @@
 		}
 	}
 
+	/**
+	 * Record that a prefill is sent to an engine. The request then uses its quota even if
+	 * no answer is generated.
+	 */
+	final void recordPrefill() {
+		this.prefillSent = true;
+	}
+
 	/**
 	 * Record that a server completed the request, so it does not crash servers.
 	 */
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -20,6 +20,8 @@
 import io.balsamlane.router.edge.Ran;
 import io.balsamlane.router.edge.Refusal;
 import io.balsamlane.router.http.ResponseMemory;
+import io.balsamlane.router.quota.QuotaDecision;
+import io.balsamlane.router.quota.QuotaService;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
@@ -66,8 +68,11 @@
 
 	private long bufferedBytes;
 
-	private FrontServer(ForwardingContext context, String readyPath) {
+	private final QuotaService quotas;
+
+	private FrontServer(ForwardingContext context, QuotaService quotas, String readyPath) {
 		this.context = context;
+		this.quotas = quotas;
 		this.readyPath = readyPath;
 	}
 
@@ -80,18 +85,20 @@
 	 * @param metrics metrics of forwarding
 	 * @param crashGuard detects requests that crash servers
 	 * @param reservations confirms free capacity on engines in a large fleet
+	 * @param quotas decides whether requests are within the quotas of their customers
 	 * @param readyPath path of the readiness check
 	 * @return the server
 	 */
 	public static FrontServer create(Vertx vertx, ForwardingDialect dialect, ForwardingState state, DecisionLog log,
-			ForwardingMetrics metrics, CrashGuard crashGuard, EngineReservations reservations, String readyPath) {
+			ForwardingMetrics metrics, CrashGuard crashGuard, EngineReservations reservations, QuotaService quotas,
+			String readyPath) {
 		ForwardingLimits limits = ForwardingLimits.defaults();
 		state.setTerminationListener(crashGuard::serverTerminated);
 		ServerClient client = new ServerClient(vertx, limits, dialect.requestIdHeader(),
 				UnmatchedResponseRecorder.create(log, metrics));
 		return new FrontServer(new ForwardingContext(vertx, dialect, state, client, limits, log, metrics,
 				new WaitingStreams(vertx), crashGuard, reservations, ResponseMemory.ofSize(limits.maxBufferedBytes())),
-				readyPath);
+				quotas, readyPath);
 	}
 
 	/**
@@ -231,12 +238,39 @@
 				? "the API key identifies no customer" : "the request does not have exactly one well-formed API key"));
 	}
 
-	// Reads the body of a request whose caller has been identified, and starts it.
+	// Reads the body of a request whose caller has been identified, and starts it. The
+	// quota is checked meanwhile.
 	private void receive(HttpServerRequest request, RequestCaller caller, RequestMetadata metadata,
 			ForwardingRoute route, ForwardedService service, long startNanos) {
-		long maxBodyBytes = this.context.state().configuration().orElseThrow().limits().maxBodyBytes();
+		ForwardingConfiguration configuration = this.context.state().configuration().orElseThrow();
 		Admission admission = new Admission(request);
-		read(admission, maxBodyBytes, (body) -> start(admission, caller, metadata, route, service, body, startNanos));
+		admission.charge = caller.identity()
+			.customer()
+			.map((customer) -> QuotaCharge.request(this.quotas, customer, configuration.version(), metadata));
+		// Reads before the decision, which may already be there: a refusal ends the
+		// reading.
+		read(admission, configuration.limits().maxBodyBytes(), (body) -> {
+			Runnable start = () -> start(admission, caller, metadata, route, service, body, startNanos);
+			admission.charge.ifPresentOrElse((charge) -> charge.currentDecision()
+				.onSuccess((decision) -> startIfGranted(admission, caller, decision, start)), start);
+		});
+		admission.charge.ifPresent(
+				(charge) -> charge.decision().onSuccess((decision) -> refuseIfExceeded(admission, caller, decision)));
+	}
+
+	private void startIfGranted(Admission admission, RequestCaller caller, QuotaDecision decision, Runnable start) {
+		refuseIfExceeded(admission, caller, decision);
+		if (!admission.released) {
+			start.run();
+		}
+	}
+
+	private void refuseIfExceeded(Admission admission, RequestCaller caller, QuotaDecision decision) {
+		if (decision instanceof QuotaDecision.Exceeded exceeded && !admission.released) {
+			admission.release();
+			refuse(admission.request, caller, Refusal.withRetry(ErrorKind.QUOTA_EXCEEDED, Ran.NO,
+					"the customer has used its quota of tokens", exceeded.retryAfterMillis()));
+		}
 	}
 
 	private void refuse(HttpServerRequest request, Refusal refusal) {
@@ -310,7 +344,7 @@
 				? new StreamExchange(this.context, request, metadata, route, service, caller, body, startNanos)
 				: new PlainExchange(this.context, request, metadata, route, service, caller, body, startNanos);
 		this.exchanges.add(admission.exchange);
-		admission.exchange.start();
+		admission.exchange.start(admission.charge);
 	}
 
 	/**
@@ -344,6 +378,8 @@
 
 		private ForwardedExchange exchange;
 
+		private Optional<QuotaCharge> charge = Optional.empty();
+
 		private int reservedBytes;
 
 		private boolean released;
@@ -372,6 +408,9 @@
 				FrontServer.this.inProgress--;
 				FrontServer.this.exchanges.remove(this.exchange);
 				FrontServer.this.bufferedBytes -= this.reservedBytes;
+				if (this.exchange == null) {
+					this.charge.ifPresent(QuotaCharge::giveBack);
+				}
 			}
 		}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -234,6 +234,7 @@
 			slow.cancel();
 			prefillFailed(engine, new AttemptOutcome.Broken("the prefill timed out"));
 		});
+		recordPrefill();
 		this.prefillCall.start(request(), metadata().requestId(), body(), remainingMillis(), (headers) -> {
 			context().dialect().prefillOnly(headers);
 			context().dialect().priority(headers, caller().priority());
