Bound what callers send before it is buffered

Cause: heads of many short lines, heads without end, trailers, and bodies that stop short of their end exhausted the heap (HostileCallerTests).

All memory is drawn from the MemoryBudget, 33% of the heap. Bodies are no longer copied for each attempt and for the fingerprint.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/edge/Refusal.java
@@ -105,7 +105,7 @@
 	 * that clients of the completion and chat API expect.
 	 * @return the JSON object
 	 */
-	JsonObject toJson() {
+	public JsonObject toJson() {
 		return new JsonObject().put("type", "urn:balsamlane:" + this.kind)
 			.put("title", this.kind)
 			.put("status", this.status)
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/CrashGuard.java
@@ -1,5 +1,6 @@
 package io.balsamlane.router.forwarding;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -32,6 +33,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.internal.buffer.BufferInternal;
 
 /**
  * Detects requests and parts of prompts under which backend servers crash, and
@@ -165,7 +167,10 @@
 		CRC32C head = new CRC32C();
 		head.update((request.method() + " " + request.uri()).getBytes(StandardCharsets.UTF_8));
 		CRC32C content = new CRC32C();
-		content.update(body.getBytes());
+		// Without a copy of the body, which may be large.
+		for (ByteBuffer part : ((BufferInternal) body).getByteBuf().nioBuffers()) {
+			content.update(part);
+		}
 		return head.getValue() << 32 | content.getValue();
 	}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingLimits.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingLimits.java
@@ -9,8 +9,8 @@
  * @param maxConnections maximum number of connections to one server
  * @param maxResponseBytes maximum size of a response that is read completely, in bytes
  * @param maxEventBytes maximum size of an event of a stream, in bytes
- * @param maxBufferedBytes maximum total size of the request bodies in memory, and of the
- * incomplete responses, in bytes
+ * @param maxBufferedBytes maximum total size of the incomplete responses in memory, in
+ * bytes
  * @param maxConcurrentRequests maximum number of requests in progress
  */
 public record ForwardingLimits(int connectTimeoutMillis, int keepAliveSeconds, int maxConnections, int maxResponseBytes,
@@ -18,7 +18,7 @@
 
 	/**
 	 * Return limits for a small host: a connect timeout of several round trips between
-	 * regions, and request bodies that fit in a quarter of its memory.
+	 * regions, and incomplete responses that fit in a quarter of its memory.
 	 * @return the limits
 	 */
 	public static ForwardingLimits defaults() {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -8,16 +8,20 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import io.balsamlane.core.forwarding.CallerLimits;
 import io.balsamlane.core.forwarding.ForwardedService;
 import io.balsamlane.core.forwarding.ForwardingConfiguration;
 import io.balsamlane.core.forwarding.ForwardingRoute;
 import io.balsamlane.core.forwarding.RequestMetadata;
 import io.balsamlane.core.forwarding.ShutdownSchedule;
+import io.balsamlane.core.memory.MemoryBudget;
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.router.edge.ErrorKind;
 import io.balsamlane.router.edge.Ran;
 import io.balsamlane.router.edge.Refusal;
 import io.balsamlane.router.http.ResponseMemory;
+import io.balsamlane.router.intake.CallerGuard;
+import io.balsamlane.router.intake.RequestBodyReader;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Future;
@@ -44,6 +48,15 @@
 
 	private static final int RETRY_AFTER_MILLIS = 500;
 
+	/** Limits of the platform's description, until a configuration is in force. */
+	private static final CallerLimits LIMITS_WITHOUT_CONFIGURATION = new CallerLimits(16_384, 4 << 20, 3000, 15_000);
+
+	/**
+	 * Part of the heap for requests and responses. The rest is for the views of the
+	 * fleet, connections, and garbage.
+	 */
+	private static final int BUDGET_HEAP_PERCENT = 33;
+
 	/**
 	 * Time within which the load balancer notices that this router is not ready: two
 	 * checks.
@@ -62,11 +75,20 @@
 
 	private int inProgress;
 
-	private long bufferedBytes;
+	private final MemoryBudget budget;
 
-	private FrontServer(ForwardingContext context, String readyPath) {
+	private final CallerGuard callerGuard;
+
+	private FrontServer(ForwardingContext context, MemoryBudget budget, String readyPath) {
 		this.context = context;
+		this.budget = budget;
 		this.readyPath = readyPath;
+		this.callerGuard = CallerGuard.create(budget,
+				() -> context.state()
+					.configuration()
+					.map(ForwardingConfiguration::limits)
+					.orElse(LIMITS_WITHOUT_CONFIGURATION),
+				CallerGuard.maxConnections(), (reason) -> context.metrics().count("caller_limits_total", reason));
 	}
 
 	/**
@@ -87,9 +109,11 @@
 		state.setTerminationListener(crashGuard::serverTerminated);
 		ServerClient client = new ServerClient(vertx, limits, dialect.requestIdHeader(),
 				UnmatchedResponseRecorder.create(log, metrics));
-		return new FrontServer(new ForwardingContext(vertx, dialect, state, client, limits, log, metrics,
-				new WaitingStreams(vertx), crashGuard, reservations, ResponseMemory.ofSize(limits.maxBufferedBytes())),
-				readyPath);
+		MemoryBudget budget = MemoryBudget.ofSize(Runtime.getRuntime().maxMemory() * BUDGET_HEAP_PERCENT / 100);
+		return new FrontServer(
+				new ForwardingContext(vertx, dialect, state, client, limits, log, metrics, new WaitingStreams(vertx),
+						crashGuard, reservations, ResponseMemory.ofSize(limits.maxBufferedBytes(), budget)),
+				budget, readyPath);
 	}
 
 	/**
@@ -99,13 +123,15 @@
 	 * @return completes when both servers listen
 	 */
 	public Future<Void> start(Endpoint front, Endpoint ready) {
+		HttpServerOptions options = new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES)
+			.setMaxInitialLineLength(MAX_HEADER_BYTES)
+			.setIdleTimeout(IDLE_SECONDS)
+			.setTcpNoDelay(true)
+			.setHttp2ClearTextEnabled(false)
+			.setHandle100ContinueAutomatically(true);
 		this.callers = this.context.vertx()
-			.createHttpServer(new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES)
-				.setMaxInitialLineLength(MAX_HEADER_BYTES)
-				.setIdleTimeout(IDLE_SECONDS)
-				.setTcpNoDelay(true)
-				.setHttp2ClearTextEnabled(false)
-				.setHandle100ContinueAutomatically(true))
+			.createHttpServer(options)
+			.connectionHandler((connection) -> this.callerGuard.connectionOpened(connection, options))
 			.invalidRequestHandler(FrontServer::handleInvalidRequest)
 			.requestHandler(this::handle);
 		this.readiness = this.context.vertx()
@@ -115,7 +141,8 @@
 		this.context.metrics().gauge("servers_usable", () -> this.context.state().usableCount());
 		this.context.metrics().gauge("servers_held_back", () -> this.context.state().heldBackCount());
 		this.context.metrics().gauge("waiting_streams", () -> this.context.waiting().size());
-		this.context.metrics().gauge("buffered_bytes", () -> this.bufferedBytes);
+		this.context.metrics().gauge("buffered_bytes", this.budget::usedBytes);
+		this.context.metrics().gauge("caller_connections", this.callerGuard::connectionCount);
 		this.context.metrics().gauge("quarantine_entries", () -> this.context.crashGuard().quarantinedCount());
 		this.context.metrics().gauge("list_age_seconds", () -> this.context.state().serversAgeMillis() / 1e3);
 		return this.callers.listen(front.port(), front.address())
@@ -206,7 +233,7 @@
 		}
 		long maxBodyBytes = configuration.get().limits().maxBodyBytes();
 		Admission admission = new Admission(request);
-		read(admission, maxBodyBytes,
+		read(admission, maxBodyBytes, route.get().timeoutMillis(),
 				(body) -> start(admission, metadata.get(), route.get(), known.get(), body, startNanos));
 	}
 
@@ -224,32 +251,14 @@
 		refusal.sendWithFractionalRetryAfter(request.response());
 	}
 
-	private void read(Admission admission, long maxBodyBytes, Consumer<Buffer> whole) {
+	private void read(Admission admission, long maxBodyBytes, long limitMillis, Consumer<Buffer> whole) {
 		HttpServerRequest request = admission.request;
-		Buffer body = Buffer.buffer();
-		request.handler((chunk) -> {
-			if (admission.released) {
-				return;
-			}
-			if (body.length() + chunk.length() > maxBodyBytes) {
-				admission.release();
-				refuseAndClose(request, Refusal.of(ErrorKind.BODY_TOO_LARGE, Ran.NO,
-						"the request body exceeds " + maxBodyBytes + " bytes"));
-			}
-			else if (!admission.reserve(chunk.length())) {
-				admission.release();
-				refuseAndClose(request, Refusal.withRetry(ErrorKind.TOO_MANY_REQUESTS, Ran.NO,
-						"request bodies exceed the memory limit of this router", RETRY_AFTER_MILLIS));
-			}
-			else {
-				body.appendBuffer(chunk);
-			}
-		});
-		request.endHandler((end) -> {
-			if (!admission.released) {
-				whole.accept(body);
-			}
-		});
+		admission.body = RequestBodyReader.read(this.context.vertx(), this.callerGuard, request, maxBodyBytes,
+				limitMillis, whole, (refusal) -> {
+					admission.release();
+					refuseAndClose(request, refusal);
+					this.callerGuard.closeSoon(request);
+				});
 	}
 
 	private void start(Admission admission, RequestMetadata metadata, ForwardingRoute route, ForwardedService service,
@@ -306,7 +315,7 @@
 
 		private ForwardedExchange exchange;
 
-		private int reservedBytes;
+		private RequestBodyReader body;
 
 		private boolean released;
 
@@ -319,21 +328,14 @@
 			request.response().endHandler((sent) -> release());
 		}
 
-		boolean reserve(int bytes) {
-			if (FrontServer.this.bufferedBytes + bytes > FrontServer.this.context.limits().maxBufferedBytes()) {
-				return false;
-			}
-			this.reservedBytes += bytes;
-			FrontServer.this.bufferedBytes += bytes;
-			return true;
-		}
-
 		void release() {
 			if (!this.released) {
 				this.released = true;
 				FrontServer.this.inProgress--;
 				FrontServer.this.exchanges.remove(this.exchange);
-				FrontServer.this.bufferedBytes -= this.reservedBytes;
+				if (this.body != null) {
+					this.body.close();
+				}
 			}
 		}
 
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ServerCall.java
@@ -99,7 +99,7 @@
 					"more than " + InformationalResponses.MAX_RESPONSES + " informational responses")));
 			this.sent = true;
 			if (body.length() > 0) {
-				this.outgoing.end(body.copy());
+				this.outgoing.end(body.slice());
 			}
 			else {
 				this.outgoing.end();
