--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/EngineWork.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/EngineWork.java
@@ -33,4 +33,17 @@
 				this.kvTokens - other.kvTokens);
 	}
 
+	// Explicit, because the generated methods call method handles, which the C1 compiler
+	// does not inline. Collectors compare all engines with each report.
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof EngineWork that && this.pendingTokens == that.pendingTokens
+				&& this.requests == that.requests && this.kvTokens == that.kvTokens;
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * (31 * Long.hashCode(this.pendingTokens) + this.requests) + Long.hashCode(this.kvTokens);
+	}
+
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/DecisionLog.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/DecisionLog.java
@@ -24,6 +24,7 @@
 	/** Rate limit per kind; ten times the request rate of a busy host. */
 	private static final int MAX_LINES_PER_KIND_AND_SECOND = 200;
 
+	/** Time in which lines are gathered for one write. */
 	private static final long WRITER_POLL_NANOS = 50_000_000L;
 
 	private final MpscArrayQueue<String> ring = new MpscArrayQueue<>(RING_LINES);
@@ -44,6 +45,10 @@
 
 	private volatile boolean stopped;
 
+	// True while the writer waits for a line instead of polling, so that an idle process
+	// is not woken.
+	private volatile boolean writerIdle;
+
 	private DecisionLog(String host, PrintStream out) {
 		this.host = host;
 		this.out = out;
@@ -114,6 +119,10 @@
 		if (!this.ring.offer(line.encode())) {
 			this.dropped.incrementAndGet();
 		}
+		if (this.writerIdle) {
+			this.writerIdle = false;
+			LockSupport.unpark(this.writer);
+		}
 	}
 
 	private synchronized boolean admit(String event) {
@@ -151,8 +160,23 @@
 			if (last) {
 				return;
 			}
-			LockSupport.parkNanos(WRITER_POLL_NANOS);
+			if (text.isEmpty()) {
+				awaitLine();
+			}
+			if (!this.stopped) {
+				LockSupport.parkNanos(WRITER_POLL_NANOS);
+			}
+		}
+	}
+
+	// The flag is set before the ring is checked, so that a line that is added in between
+	// either is seen or wakes the writer.
+	private void awaitLine() {
+		this.writerIdle = true;
+		while (this.writerIdle && this.ring.isEmpty() && !this.stopped) {
+			LockSupport.park(this);
 		}
+		this.writerIdle = false;
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WorkReporter.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WorkReporter.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
 import io.balsamlane.core.forwarding.EngineWork;
 import io.balsamlane.core.forwarding.FleetRoles;
@@ -100,11 +99,12 @@
 	}
 
 	private boolean applyReport(HostName from, EngineWorkReport report) {
-		Map<ServerName, EngineWork> work = report.getEnginesList()
-			.stream()
-			.collect(Collectors.toMap((entry) -> ServerName.of(entry.getServer()),
-					(entry) -> new EngineWork(entry.getPendingTokens(), entry.getRequests(), entry.getKvTokens()),
-					EngineWork::plus));
+		Map<ServerName, EngineWork> work = new HashMap<>();
+		for (EngineWorkEntry entry : report.getEnginesList()) {
+			work.merge(ServerName.of(entry.getServer()),
+					new EngineWork(entry.getPendingTokens(), entry.getRequests(), entry.getKvTokens()),
+					EngineWork::plus);
+		}
 		WorkScope scope = scope(report.getScope());
 		if (scope == WorkScope.REST) {
 			// It counts the requests of all other routers and replaces their reports.
--- a/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/DecisionLogTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/DecisionLogTests.java
@@ -6,7 +6,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.json.JsonObject;
 import org.junit.jupiter.api.Test;
@@ -58,6 +61,36 @@
 		assertThat(lines).anyMatch((line) -> line.getString("event").equals("process-started"));
 	}
 
+	@Test
+	void idleWriterIsNotWokenPeriodicallyAndWritesTheNextLine() throws Exception {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		DecisionLog log = DecisionLog.create("host-idle", new PrintStream(out));
+		Set<Thread> before = Thread.getAllStackTraces().keySet();
+		log.start();
+		Thread writer = Thread.getAllStackTraces()
+			.keySet()
+			.stream()
+			.filter((thread) -> thread.getName().equals("decision-log") && !before.contains(thread))
+			.findFirst()
+			.orElseThrow();
+		for (int line = 1; line <= 3; line++) {
+			await(() -> writer.getState() == Thread.State.WAITING);
+			log.log("line", "");
+			long lines = line;
+			await(() -> out.toString(StandardCharsets.UTF_8).lines().count() == lines);
+		}
+		log.stop();
+		assertThat(writer.isAlive()).isFalse();
+	}
+
+	private static void await(BooleanSupplier condition) throws InterruptedException {
+		long limitNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime()).isLessThan(limitNanos);
+			Thread.sleep(5);
+		}
+	}
+
 	@Test
 	void blockedOutputDoesNotBlockCaller() {
 		CountDownLatch unblocked = new CountDownLatch(1);
