Order waiting streams by standing where the configuration has customers

Under overload each router ordered its own short queue, and engines were filled up to their memory whatever their queue of prefills, so that most urgent streams were late. Streams are now placed within limits of the queue, the memory and the free engines that depend on whether they can be on time, on their priority and on whether their customer exceeds its usual load. Configurations without customers keep the previous queue.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingConfiguration.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ForwardingConfiguration.java
@@ -145,6 +145,14 @@
 		return this.services.values();
 	}
 
+	/**
+	 * Return all routes.
+	 * @return the routes of all hosts
+	 */
+	public Collection<ForwardingRoute> routes() {
+		return this.routesByHost.values().stream().flatMap(List::stream).toList();
+	}
+
 	/**
 	 * Return the number of routes.
 	 * @return the number of routes of all hosts
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/SharedLoadPlacement.java
@@ -320,6 +320,19 @@
 		return (ownWork != null) ? ownWork.work().plus(reported) : reported;
 	}
 
+	/**
+	 * Return the expected time until an engine starts the prefill of a new request.
+	 * @param engine the engine
+	 * @param nowNanos the monotonic time
+	 * @return the time in milliseconds, 0 if no prefill is outstanding
+	 */
+	public double queueMillis(ListedServer engine, long nowNanos) {
+		double rate = (engine.stage() == EngineStage.DECODE)
+				? this.rates.prefillTokensPerMilli() / this.rates.decodeSlowdown() : this.rates.prefillTokensPerMilli();
+		return work(engine.name(), nowNanos).pendingTokens() / rate
+				* this.observations.slowdown(engine.name(), nowNanos);
+	}
+
 	/**
 	 * Return the work that other routers report.
 	 * @return the reported work
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -16,6 +16,8 @@
 import io.balsamlane.core.forwarding.WindowedRetryBudget;
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.ServerName;
+import io.balsamlane.core.overload.CustomerUsage;
+import io.balsamlane.core.overload.OverloadRule;
 import io.balsamlane.core.retry.ReplicaChooser;
 import org.apache.commons.rng.simple.RandomSource;
 
@@ -53,6 +55,10 @@
 
 	private final RetryRule retryRule;
 
+	private Map<String, OverloadRule> overloadRules = Map.of();
+
+	private final CustomerUsage customerUsage = CustomerUsage.create();
+
 	private int budgetRouters = MIN_BUDGET_ROUTERS;
 
 	private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
@@ -112,6 +118,7 @@
 			.forEach((problem) -> this.log.log("customer-configuration-error", "", "version", next.version(), "problem",
 					problem));
 		this.configuration = next;
+		this.overloadRules = OverloadRule.byService(next);
 		this.configurationNanos = System.nanoTime();
 		return true;
 	}
@@ -331,6 +338,24 @@
 		return this.engines;
 	}
 
+	/**
+	 * Return the work that customers have requested from the whole fleet, as far as it is
+	 * known to this router.
+	 * @return the usage
+	 */
+	public CustomerUsage customerUsage() {
+		return this.customerUsage;
+	}
+
+	/**
+	 * Return the rule for requests of a service that wait for capacity.
+	 * @param service name of the service
+	 * @return the rule, empty if the configuration in force has no customers
+	 */
+	Optional<OverloadRule> overloadRule(String service) {
+		return Optional.ofNullable(this.overloadRules.get(service));
+	}
+
 	WindowedRetryBudget budget(String service) {
 		return this.budgets.computeIfAbsent(service, (name) -> WindowedRetryBudget.create(this.retryRule.share(),
 				() -> this.retryRule.fixed() / this.budgetRouters, this.retryRule.windowNanos()));
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -89,8 +89,8 @@
 		ServerClient client = new ServerClient(vertx, limits, dialect.requestIdHeader(),
 				UnmatchedResponseRecorder.create(log, metrics));
 		return new FrontServer(new ForwardingContext(vertx, dialect, state, client, limits, log, metrics,
-				new WaitingStreams(vertx), crashGuard, reservations, ResponseMemory.ofSize(limits.maxBufferedBytes())),
-				readyPath);
+				new WaitingStreams(vertx, state.customerUsage()), crashGuard, reservations,
+				ResponseMemory.ofSize(limits.maxBufferedBytes())), readyPath);
 	}
 
 	/**
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/StreamExchange.java
@@ -1,5 +1,6 @@
 package io.balsamlane.router.forwarding;
 
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -7,6 +8,7 @@
 import java.util.Set;
 
 import io.balsamlane.core.forwarding.AttemptOutcome;
+import io.balsamlane.core.forwarding.Customer;
 import io.balsamlane.core.forwarding.EngineChoice;
 import io.balsamlane.core.forwarding.EngineLimits;
 import io.balsamlane.core.forwarding.EventSplitter;
@@ -18,6 +20,12 @@
 import io.balsamlane.core.forwarding.RequestMetadata;
 import io.balsamlane.core.forwarding.SharedLoadPlacement;
 import io.balsamlane.core.model.ServerName;
+import io.balsamlane.core.overload.Demand;
+import io.balsamlane.core.overload.LimitedPlacement;
+import io.balsamlane.core.overload.OverloadRule;
+import io.balsamlane.core.overload.PlacementLimits;
+import io.balsamlane.core.overload.Rejection;
+import io.balsamlane.core.overload.Standing;
 import io.balsamlane.router.edge.ErrorKind;
 import io.balsamlane.router.http.ResponseBodyReader;
 import io.balsamlane.router.http.ResponseFraming;
@@ -110,6 +118,8 @@
 
 	private boolean resumed;
 
+	private boolean usageRecorded;
+
 	StreamExchange(ForwardingContext context, HttpServerRequest request, RequestMetadata metadata,
 			ForwardingRoute route, ForwardedService service, RequestCaller caller, Buffer body, long startNanos) {
 		super(context, request, metadata, route, service, caller, body, startNanos);
@@ -126,6 +136,14 @@
 		if (refuseIfKeyWithdrawn() || refuseIfQuarantined()) {
 			return;
 		}
+		Optional<OverloadRule> rule = overloadRule();
+		if (rule.isPresent()) {
+			recordUsage();
+			if (!place(this, context().waiting().standing(service().name(), demand(deadlines(System.nanoTime()))))) {
+				await();
+			}
+			return;
+		}
 		// An interrupted stream does not queue behind those that have not started.
 		boolean behind = !this.headSent && context().waiting().anyAhead(service().name(), caller().priority());
 		if (behind || !place(this, false)) {
@@ -135,16 +153,57 @@
 
 	private void await() {
 		long nowNanos = System.nanoTime();
-		QueueDeadlines times = this.headSent ? QueueDeadlines.forInterruptedStream(route(), nowNanos, remainingMillis())
-				: QueueDeadlines.forNewStream(route(), startNanos(), nowNanos, remainingMillis());
+		QueueDeadlines times = deadlines(nowNanos);
 		log("waiting", "waiting", context().waiting().size(), "longest_millis",
 				(times.refuseAtNanos() - nowNanos) / NANOS_PER_MILLI);
-		if (times.expired(nowNanos)
+		if (!times.expired(nowNanos) && overloadRule().isPresent()) {
+			context().waiting().add(service().name(), this, demand(times));
+		}
+		else if (times.expired(nowNanos)
 				|| !context().waiting().add(service().name(), this, caller().priority(), startNanos(), times)) {
 			refuse(ErrorKind.OVERLOADED, "all engines are at capacity", RETRY_AFTER_WAIT_MILLIS);
 		}
 	}
 
+	private QueueDeadlines deadlines(long nowNanos) {
+		return this.headSent ? QueueDeadlines.forInterruptedStream(route(), nowNanos, remainingMillis())
+				: QueueDeadlines.forNewStream(route(), startNanos(), nowNanos, remainingMillis());
+	}
+
+	private Demand demand(QueueDeadlines times) {
+		return new Demand(caller().customer().map(Customer::id), caller().priority(), metadata().kvTokens(),
+				startNanos(), times.onTimeUntilNanos(), times.refuseAtNanos());
+	}
+
+	// An interrupted stream is never displaced by streams that have not started.
+	private Optional<OverloadRule> overloadRule() {
+		return this.headSent ? Optional.empty() : context().state().overloadRule(service().name());
+	}
+
+	private void recordUsage() {
+		if (!this.usageRecorded) {
+			this.usageRecorded = true;
+			context().state()
+				.customerUsage()
+				.record(caller().customer().map(Customer::id), metadata().kvTokens(), System.nanoTime());
+		}
+	}
+
+	/**
+	 * Refuse a waiting request that is not worth a longer wait.
+	 * @param reason why it is rejected
+	 */
+	void waitRejected(Rejection.Reason reason) {
+		if (!isDone()) {
+			String kind = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+			context().metrics().count("overload_rejections_total", kind);
+			log("wait-rejected", "reason", kind, "waited_millis", (System.nanoTime() - startNanos()) / NANOS_PER_MILLI,
+					"priority", caller().priority(), "kv_tokens", metadata().kvTokens(), "excess",
+					context().state().customerUsage().excess(caller().customer().map(Customer::id), System.nanoTime()));
+			refuse(ErrorKind.OVERLOADED, "no engine has capacity for this request: " + kind, RETRY_AFTER_WAIT_MILLIS);
+		}
+	}
+
 	/**
 	 * Refuse a request whose maximum waiting time has expired.
 	 */
@@ -165,14 +224,46 @@
 		return stream.refuseIfKeyWithdrawn() || stream.place(late ? MAX_FILL_WHEN_LATE : MAX_FILL);
 	}
 
+	/**
+	 * Place a stream on an engine within the limits of its standing.
+	 * @param stream the stream
+	 * @param standing its standing
+	 * @return false if no engine is within the limits; true if the stream was placed or
+	 * has ended
+	 */
+	static boolean place(StreamExchange stream, Standing standing) {
+		return stream.refuseIfKeyWithdrawn() || stream.overloadRule()
+			.map((rule) -> stream.place(rule.limits(standing, stream.caller().priority()), standing))
+			.orElseGet(() -> place(stream, standing == Standing.LATE));
+	}
+
+	private boolean place(PlacementLimits limits, Standing standing) {
+		this.attemptNanos = System.nanoTime();
+		List<ListedServer> usable = context().state().usable(service().name());
+		long onTimeMillis = (standing == Standing.LATE) ? Long.MAX_VALUE
+				: route().targetMillis() - (this.attemptNanos - startNanos()) / NANOS_PER_MILLI;
+		EngineChoice choice = LimitedPlacement.of(context().state().engines())
+			.choose(usable, engineLimits(), limits, metadata().kvTokens(),
+					context().state().customerUsage().averageTokens(), onTimeMillis,
+					(engines) -> choose(engines, limits.maxFill()), this.attemptNanos);
+		return start(choice, usable, limits.maxFill());
+	}
+
 	private boolean place(double fill) {
 		this.attemptNanos = System.nanoTime();
 		List<ListedServer> usable = context().state().usable(service().name());
-		EngineChoice choice = context().state()
+		return start(choose(usable, fill), usable, fill);
+	}
+
+	private EngineChoice choose(Collection<ListedServer> engines, double fill) {
+		return context().state()
 			.engines()
-			.choose(usable, engineLimits(), metadata(), this.excluded,
+			.choose(engines, engineLimits(), metadata(), this.excluded,
 					!this.resumed && this.failedPrefills < MAX_FAILED_PREFILLS, fill, remainingMillis(),
 					this.attemptNanos);
+	}
+
+	private boolean start(EngineChoice choice, List<ListedServer> usable, double fill) {
 		if (choice instanceof EngineChoice.Full) {
 			return false;
 		}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WaitingStreams.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WaitingStreams.java
@@ -5,6 +5,10 @@
 
 import io.balsamlane.core.forwarding.PlacementQueue;
 import io.balsamlane.core.forwarding.QueueDeadlines;
+import io.balsamlane.core.overload.CustomerUsage;
+import io.balsamlane.core.overload.Demand;
+import io.balsamlane.core.overload.OverloadQueue;
+import io.balsamlane.core.overload.Standing;
 import io.vertx.core.Vertx;
 
 /**
@@ -25,10 +29,15 @@
 
 	private final Map<String, PlacementQueue<StreamExchange>> queues = new HashMap<>();
 
+	private final Map<String, OverloadQueue<StreamExchange>> overloadQueues = new HashMap<>();
+
+	private final CustomerUsage usage;
+
 	private boolean scheduled;
 
-	WaitingStreams(Vertx vertx) {
+	WaitingStreams(Vertx vertx, CustomerUsage usage) {
 		this.vertx = vertx;
+		this.usage = usage;
 	}
 
 	/**
@@ -58,7 +67,37 @@
 		return added;
 	}
 
+	/**
+	 * Return the standing of a stream of a service with an overload rule.
+	 * @param service name of its service
+	 * @param demand what it needs
+	 * @return the standing
+	 */
+	Standing standing(String service, Demand demand) {
+		return overloadQueue(service).standing(demand, System.nanoTime());
+	}
+
+	/**
+	 * Add a stream to the queue of a service with an overload rule.
+	 * @param service name of its service
+	 * @param stream the stream
+	 * @param demand what it needs
+	 */
+	void add(String service, StreamExchange stream, Demand demand) {
+		overloadQueue(service).offer(stream, demand, System.nanoTime())
+			.ifPresent((rejection) -> rejection.request().waitRejected(rejection.reason()));
+		schedule();
+	}
+
+	private OverloadQueue<StreamExchange> overloadQueue(String service) {
+		return this.overloadQueues.computeIfAbsent(service, (name) -> OverloadQueue.create(MAX_WAITING, this.usage));
+	}
+
 	void remove(String service, StreamExchange stream) {
+		OverloadQueue<StreamExchange> overloadQueue = this.overloadQueues.get(service);
+		if (overloadQueue != null) {
+			overloadQueue.remove(stream);
+		}
 		PlacementQueue<StreamExchange> queue = this.queues.get(service);
 		if (queue != null) {
 			queue.remove(stream);
@@ -66,7 +105,8 @@
 	}
 
 	int size() {
-		return this.queues.values().stream().mapToInt(PlacementQueue::size).sum();
+		return this.queues.values().stream().mapToInt(PlacementQueue::size).sum()
+				+ this.overloadQueues.values().stream().mapToInt(OverloadQueue::size).sum();
 	}
 
 	private void schedule() {
@@ -76,6 +116,7 @@
 				this.scheduled = false;
 				try {
 					this.queues.values().forEach(this::drain);
+					this.overloadQueues.values().forEach(this::drain);
 				}
 				finally {
 					schedule();
@@ -89,4 +130,10 @@
 		queue.drain(StreamExchange::place, System.nanoTime());
 	}
 
+	private void drain(OverloadQueue<StreamExchange> queue) {
+		queue.removeHopeless(System.nanoTime())
+			.forEach((rejection) -> rejection.request().waitRejected(rejection.reason()));
+		queue.drain(StreamExchange::place, System.nanoTime());
+	}
+
 }
