Report customers' requests between routers

A router of a large fleet receives a few requests of a customer in a minute and cannot recognize by itself that the customer exceeds its usual load.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/overload/CustomerUsage.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/overload/CustomerUsage.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 
 import io.balsamlane.core.model.CustomerId;
 
@@ -34,10 +35,16 @@
 	 */
 	private static final double PRIOR_REQUESTS = 2;
 
+	/** Number of requests over which the average size is taken. */
+	private static final double AVERAGE_REQUESTS = 64;
+
 	private static final double NANOS_PER_SECOND = 1e9;
 
 	private final Map<CustomerId, Sums> customers = new HashMap<>();
 
+	private BiConsumer<CustomerId, Long> listener = (customer, tokens) -> {
+	};
+
 	private double averageTokens;
 
 	private long firstNanos;
@@ -54,27 +61,51 @@
 	}
 
 	/**
-	 * Record a request, whether it is served or not.
+	 * Set the listener that is notified of the requests recorded on this router.
+	 * @param next receives the customer and the number of tokens of each request
+	 */
+	public void setListener(BiConsumer<CustomerId, Long> next) {
+		this.listener = next;
+	}
+
+	/**
+	 * Record a request that this router received, whether it is served or not.
 	 * @param customer the customer that sent it
 	 * @param tokens number of tokens that it needs
 	 * @param nowNanos the monotonic time
 	 */
 	public void record(Optional<CustomerId> customer, long tokens, long nowNanos) {
 		if (this.averageTokens == 0) {
-			this.firstNanos = nowNanos;
 			this.averageTokens = tokens;
 		}
-		this.averageTokens += (tokens - this.averageTokens) / 64;
-		if (customer.isEmpty()) {
-			return;
+		this.averageTokens += (tokens - this.averageTokens) / AVERAGE_REQUESTS;
+		customer.ifPresent((known) -> {
+			add(known, tokens, nowNanos);
+			this.listener.accept(known, tokens);
+		});
+	}
+
+	/**
+	 * Record requests that other routers received.
+	 * @param customer the customer that sent them
+	 * @param tokens number of tokens that they need
+	 * @param nowNanos the monotonic time
+	 */
+	public void recordReported(CustomerId customer, long tokens, long nowNanos) {
+		add(customer, tokens, nowNanos);
+	}
+
+	private void add(CustomerId customer, long tokens, long nowNanos) {
+		if (this.customers.isEmpty()) {
+			this.firstNanos = nowNanos;
 		}
-		if (this.customers.size() >= MAX_CUSTOMERS && !this.customers.containsKey(customer.get())) {
+		if (this.customers.size() >= MAX_CUSTOMERS && !this.customers.containsKey(customer)) {
 			this.customers.entrySet()
 				.stream()
 				.min(Comparator.comparingLong((entry) -> entry.getValue().lastNanos - nowNanos))
 				.ifPresent((oldest) -> this.customers.remove(oldest.getKey()));
 		}
-		this.customers.computeIfAbsent(customer.get(), (id) -> new Sums()).add(tokens, nowNanos);
+		this.customers.computeIfAbsent(customer, (id) -> new Sums()).add(tokens, nowNanos);
 	}
 
 	/**
@@ -105,12 +136,24 @@
 		return Math.round(this.averageTokens);
 	}
 
+	/**
+	 * Return the number of tokens recorded for a customer so far.
+	 * @param customer the customer
+	 * @return the number, without decay
+	 */
+	public long recordedTokens(CustomerId customer) {
+		Sums sums = this.customers.get(customer);
+		return (sums != null) ? sums.total : 0;
+	}
+
 	private static double window(double halfLifeSeconds, double seenSeconds) {
 		return halfLifeSeconds * (1 - Math.pow(0.5, seenSeconds / halfLifeSeconds));
 	}
 
 	private static final class Sums {
 
+		private long total;
+
 		private double recent;
 
 		private double usual;
@@ -118,6 +161,7 @@
 		private long lastNanos;
 
 		void add(long tokens, long nowNanos) {
+			this.total += tokens;
 			this.recent = recent(nowNanos) + tokens;
 			this.usual = usual(nowNanos) + tokens;
 			this.lastNanos = nowNanos;
--- a/balsamlane-core/src/test/java/io/balsamlane/core/overload/OverloadPolicies.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/overload/OverloadPolicies.java
@@ -1,13 +1,16 @@
 package io.balsamlane.core.overload;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 import io.balsamlane.core.forwarding.PlacementQueue;
+import io.balsamlane.core.model.CustomerId;
 import io.balsamlane.core.overload.OverloadSimulation.Placer;
 import io.balsamlane.core.overload.OverloadSimulation.Policy;
 import io.balsamlane.core.overload.OverloadSimulation.Request;
@@ -79,14 +82,22 @@
 		return new SortedPolicy(true);
 	}
 
-	static Policy overload(CustomerUsage usage) {
+	/**
+	 * Return the policy under test. Each router receives the requests that others have
+	 * recorded with the delay of the reports.
+	 */
+	static Policy overload(FleetReports fleet) {
 		return new Policy() {
 
-			private final OverloadQueue<Request> queue = OverloadQueue.create(MAX_WAITING, usage);
+			private final CustomerUsage usage = fleet.join();
+
+			private final OverloadQueue<Request> queue = OverloadQueue.create(MAX_WAITING, this.usage);
 
 			@Override
 			public void arrived(Request request, long now) {
-				usage.record(Optional.of(request.customerId()), request.tokens(), now * NANOS_PER_MILLI);
+				fleet.deliver(now);
+				this.usage.record(Optional.of(request.customerId()), request.tokens(), now * NANOS_PER_MILLI);
+				fleet.report(this.usage, request.customerId(), request.tokens(), now);
 			}
 
 			@Override
@@ -132,6 +143,49 @@
 		};
 	}
 
+	/** Reports of the customers' requests from each router to all others. */
+	static final class FleetReports {
+
+		/** Two reports of up to 700 ms through collectors. */
+		private static final long DELAY_MILLIS = 1000;
+
+		private final boolean connected;
+
+		private final List<CustomerUsage> routers = new ArrayList<>();
+
+		private final Deque<Report> inTransit = new ArrayDeque<>();
+
+		FleetReports(boolean connected) {
+			this.connected = connected;
+		}
+
+		CustomerUsage join() {
+			CustomerUsage usage = CustomerUsage.create();
+			this.routers.add(usage);
+			return usage;
+		}
+
+		void report(CustomerUsage from, CustomerId customer, long tokens, long now) {
+			if (this.connected) {
+				this.inTransit.add(new Report(from, customer, tokens, now + DELAY_MILLIS));
+			}
+		}
+
+		void deliver(long now) {
+			while (!this.inTransit.isEmpty() && this.inTransit.peek().atMillis() <= now) {
+				Report report = this.inTransit.poll();
+				this.routers.stream()
+					.filter((router) -> router != report.from())
+					.forEach((router) -> router.recordReported(report.customer(), report.tokens(),
+							now * NANOS_PER_MILLI));
+			}
+		}
+
+		private record Report(CustomerUsage from, CustomerId customer, long tokens, long atMillis) {
+		}
+
+	}
+
 	private static final class SortedPolicy implements Policy {
 
 		private final boolean equalShares;
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WorkReporter.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/WorkReporter.java
@@ -10,11 +10,15 @@
 import io.balsamlane.core.forwarding.FleetRoles;
 import io.balsamlane.core.forwarding.SharedLoadPlacement;
 import io.balsamlane.core.forwarding.WorkScope;
+import io.balsamlane.core.model.CustomerId;
 import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.ServerName;
+import io.balsamlane.core.overload.CustomerUsage;
+import io.balsamlane.core.overload.UsageReports;
 import io.balsamlane.router.peer.PeerNetwork;
 import io.balsamlane.router.peer.PeerReply;
 import io.balsamlane.schema.Acknowledgement;
+import io.balsamlane.schema.CustomerTokens;
 import io.balsamlane.schema.EngineWorkEntry;
 import io.balsamlane.schema.EngineWorkReport;
 import io.balsamlane.schema.PeerMessage;
@@ -61,16 +65,22 @@
 
 	private final SharedLoadPlacement engines;
 
+	private final CustomerUsage usage;
+
+	private final UsageReports usageReports = UsageReports.create();
+
 	private final Supplier<FleetRoles> roles;
 
 	private final Map<HostName, ReceiverState> receivers = new HashMap<>();
 
 	private boolean scheduled;
 
-	private WorkReporter(Vertx vertx, PeerNetwork peers, SharedLoadPlacement engines, Supplier<FleetRoles> roles) {
+	private WorkReporter(Vertx vertx, PeerNetwork peers, SharedLoadPlacement engines, CustomerUsage usage,
+			Supplier<FleetRoles> roles) {
 		this.vertx = vertx;
 		this.peers = peers;
 		this.engines = engines;
+		this.usage = usage;
 		this.roles = roles;
 	}
 
@@ -79,12 +89,13 @@
 	 * @param vertx the event loop that owns the placement
 	 * @param peers the other routers
 	 * @param engines the placement whose work is reported
+	 * @param usage the usage of customers that is reported
 	 * @param roles returns the current report targets
 	 * @return the reporter
 	 */
-	public static WorkReporter create(Vertx vertx, PeerNetwork peers, SharedLoadPlacement engines,
+	public static WorkReporter create(Vertx vertx, PeerNetwork peers, SharedLoadPlacement engines, CustomerUsage usage,
 			Supplier<FleetRoles> roles) {
-		return new WorkReporter(vertx, peers, engines, roles);
+		return new WorkReporter(vertx, peers, engines, usage, roles);
 	}
 
 	/**
@@ -96,6 +107,8 @@
 					.setAcknowledgement(Acknowledgement.newBuilder()
 						.setResend(!applyReport(HostName.of(from.getHost()), message.getEngineWorkReport())))));
 		this.engines.setWorkListener(this::changed);
+		this.usage.setListener(
+				(customer, tokens) -> this.usageReports.addOwn(customer, tokens, this.roles.get().reportTargets()));
 		this.vertx.setPeriodic(COLLECTOR_REPORT_MILLIS, (id) -> report(false));
 	}
 
@@ -106,6 +119,7 @@
 					(entry) -> new EngineWork(entry.getPendingTokens(), entry.getRequests(), entry.getKvTokens()),
 					EngineWork::plus));
 		WorkScope scope = scope(report.getScope());
+		applyUsage(from, scope, report);
 		if (scope == WorkScope.REST) {
 			// It counts the requests of all other routers and replaces their reports.
 			this.engines.reportedWork().retainOnly(from);
@@ -113,6 +127,18 @@
 		return this.engines.reportedWork().applyReport(from, scope, work, report.getComplete(), System.nanoTime());
 	}
 
+	private void applyUsage(HostName from, WorkScope scope, EngineWorkReport report) {
+		if (report.getCustomersCount() > 0) {
+			Map<CustomerId, Long> tokens = report.getCustomersList()
+				.stream()
+				.filter((entry) -> !entry.getCustomer().isBlank())
+				.collect(Collectors.toMap((entry) -> CustomerId.of(entry.getCustomer()), CustomerTokens::getTokens,
+						Long::sum));
+			tokens.forEach((customer, count) -> this.usage.recordReported(customer, count, System.nanoTime()));
+			this.usageReports.addReported(from, scope, tokens, this.roles.get().reportTargets());
+		}
+	}
+
 	private void changed() {
 		if (!this.scheduled) {
 			this.scheduled = true;
@@ -139,7 +165,7 @@
 	}
 
 	private void send(HostName host, ReceiverState state, Map<ServerName, EngineWork> work, long nowNanos) {
-		if (!state.shouldSend(work, nowNanos)) {
+		if (!state.shouldSend(work, nowNanos) && !this.usageReports.due(host, nowNanos)) {
 			return;
 		}
 		EngineWorkReport.Builder report = EngineWorkReport.newBuilder()
@@ -152,6 +178,9 @@
 						.setPendingTokens(on.pendingTokens())
 						.setRequests(on.requests())
 						.setKvTokens(on.kvTokens())));
+		this.usageReports.take(host, nowNanos)
+			.forEach((customer, tokens) -> report
+				.addCustomers(CustomerTokens.newBuilder().setCustomer(customer.value()).setTokens(tokens)));
 		WorkScope sent = state.scope;
 		state.sent(nowNanos);
 		this.peers.call(host, PeerMessage.newBuilder().setEngineWorkReport(report), CALL_TIMEOUT_MILLIS)
--- a/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/EngineReservationsTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/EngineReservationsTests.java
@@ -22,6 +22,7 @@
 import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.model.ServerName;
+import io.balsamlane.core.overload.CustomerUsage;
 import io.balsamlane.router.peer.LoopbackNetworks;
 import io.balsamlane.router.peer.PeerNetwork;
 import io.vertx.core.Future;
@@ -84,7 +85,7 @@
 			this.placements.put(member.host(), placement);
 			this.reservations.put(member.host(), EngineReservations.create(network, placement, () -> roles,
 					DecisionLog.create(member.host().value(), new PrintStream(PrintStream.nullOutputStream()))));
-			WorkReporter.create(this.vertx, network, placement, () -> roles).start();
+			WorkReporter.create(this.vertx, network, placement, CustomerUsage.create(), () -> roles).start();
 		}));
 	}
 
--- a/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/WorkReporterTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/forwarding/WorkReporterTests.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -16,10 +17,12 @@
 import io.balsamlane.core.membership.Member;
 import io.balsamlane.core.membership.MemberView;
 import io.balsamlane.core.model.BackendServer;
+import io.balsamlane.core.model.CustomerId;
 import io.balsamlane.core.model.Endpoint;
 import io.balsamlane.core.model.HostName;
 import io.balsamlane.core.model.Place;
 import io.balsamlane.core.model.ServerName;
+import io.balsamlane.core.overload.CustomerUsage;
 import io.balsamlane.router.peer.LoopbackNetworks;
 import io.balsamlane.router.peer.PeerNetwork;
 import io.vertx.core.Promise;
@@ -46,6 +49,8 @@
 
 	private Map<HostName, SharedLoadPlacement> placements;
 
+	private Map<HostName, CustomerUsage> usages;
+
 	private LoopbackNetworks networks;
 
 	private List<Member> members;
@@ -66,10 +71,14 @@
 					(member) -> SharedLoadPlacement.create(new EngineRates(33.3, 2.3, 10, 3, 42, 60, 25),
 							member.place().value(), member.place().value(),
 							RandomSource.XO_RO_SHI_RO_128_PP.create(1))));
+		this.usages = this.members.stream().collect(Collectors.toMap(Member::host, (member) -> CustomerUsage.create()));
 		onLoop(() -> this.members.forEach((member) -> {
 			FleetRoles roles = FleetRoles.of(new MemberView(member, this.members), Place::value);
 			PeerNetwork network = this.networks.of(member);
-			WorkReporter.create(this.vertx, network, this.placements.get(member.host()), () -> roles).start();
+			WorkReporter
+				.create(this.vertx, network, this.placements.get(member.host()), this.usages.get(member.host()),
+						() -> roles)
+				.start();
 		}));
 	}
 
@@ -128,6 +137,37 @@
 		await(() -> allRoutersSee(EngineWork.NONE), "no work");
 	}
 
+	/**
+	 * Guards against routers that see only their own part of a customer's requests and so
+	 * never recognize a crowd, or count a request twice on its way through collectors.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 7, 30 })
+	void everyRouterCountsTheRequestsOfCustomersExactlyOnce(int routers) throws Exception {
+		start(routers);
+		CustomerId customer = CustomerId.of("hule930");
+		onLoop(() -> this.members.forEach((member) -> {
+			this.usages.get(member.host()).record(Optional.of(customer), 1000, System.nanoTime());
+			this.placements.get(member.host()).assign(ENGINE, 3000, 3800);
+		}));
+		await(() -> allRoutersRecorded(customer, 1000L * routers), "requests of all routers");
+		Thread.sleep(1500);
+		assertThat(allRoutersRecorded(customer, 1000L * routers)).isTrue();
+	}
+
+	private boolean allRoutersRecorded(CustomerId customer, long tokens) {
+		boolean[] result = new boolean[1];
+		try {
+			onLoop(() -> result[0] = this.usages.values()
+				.stream()
+				.allMatch((usage) -> usage.recordedTokens(customer) == tokens));
+		}
+		catch (Exception ex) {
+			throw new IllegalStateException(ex);
+		}
+		return result[0];
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 7, 30 })
 	void idleFleetSendsNoReports(int routers) throws Exception {
