--- a/balsamlane-core/src/main/java/io/balsamlane/core/overload/LimitedPlacement.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/overload/LimitedPlacement.java
@@ -48,17 +48,21 @@
 		List<ListedServer> decoders = usable.stream().filter((engine) -> engine.stage() == EngineStage.DECODE).toList();
 		boolean prefillEngineFree = usable.stream()
 			.anyMatch((engine) -> engine.stage() == EngineStage.PREFILL && queueWithin(engine, limits, nowNanos));
+		long requiredAverage = PlacementLimits.requiredTokens(averageTokens, capacity.kvTokens());
 		long free = decoders.stream()
 			.filter((engine) -> (prefillEngineFree || queueWithin(engine, limits, nowNanos))
-					&& admits(engine, capacity, limits, averageTokens, nowNanos))
+					&& admits(engine, capacity, limits, requiredAverage, nowNanos))
 			.count();
 		EngineChoice.Full full = new EngineChoice.Full(decoders.size());
 		if (!decoders.isEmpty() && free < limits.minFreeShare() * decoders.size()) {
 			return full;
 		}
+		long required = PlacementLimits.requiredTokens(tokens, capacity.kvTokens());
 		List<ListedServer> eligible = usable.stream()
-			.filter((engine) -> engine.stage() != EngineStage.DECODE
-					|| admits(engine, capacity, limits, requiredTokens(engine, tokens, capacity), nowNanos))
+			.filter((engine) -> (engine.stage() == EngineStage.DECODE)
+					? (prefillEngineFree || queueWithin(engine, limits, nowNanos))
+							&& admits(engine, capacity, limits, required, nowNanos)
+					: queueWithin(engine, limits, nowNanos))
 			.toList();
 		if (!decoders.isEmpty() && eligible.stream().noneMatch((engine) -> engine.stage() == EngineStage.DECODE)) {
 			return full;
@@ -75,10 +79,6 @@
 		return choice;
 	}
 
-	private static long requiredTokens(ListedServer engine, long tokens, EngineLimits capacity) {
-		return PlacementLimits.requiredTokens(engine.name().value().hashCode(), tokens, capacity.kvTokens());
-	}
-
 	private boolean admits(ListedServer engine, EngineLimits capacity, PlacementLimits limits, long tokens,
 			long nowNanos) {
 		return this.engines.admissionLimits(engine, capacity, limits.maxFill())
--- a/balsamlane-core/src/main/java/io/balsamlane/core/overload/PlacementLimits.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/overload/PlacementLimits.java
@@ -14,13 +14,14 @@
 public record PlacementLimits(double maxFill, long maxQueueMillis, double minFreeShare) {
 
 	/**
-	 * Every fourth engine keeps room for a large request; without it, the largest tenth
-	 * of the requests rarely finds room on engines that small ones fill.
+	 * Requests below this share of an engine's KV cache leave the margin free. Without
+	 * it, the largest tenth of the requests rarely finds room on engines that small ones
+	 * fill.
 	 */
-	private static final int RESERVED_ENGINE_STRIDE = 4;
+	private static final double LARGE_SHARE = 0.22;
 
-	/** Share of the KV cache that is kept free on these engines. */
-	private static final double RESERVED_SHARE = 0.22;
+	/** Share of the KV cache that only large requests may use. */
+	private static final double LARGE_MARGIN = 0.05;
 
 	/** Largest rank that is distinguished. */
 	private static final int MAX_RANK = 2;
@@ -41,7 +42,7 @@
 
 	private static final double FREE_SHARE_STEP = 0.07;
 
-	private static final double FREE_SHARE_FOR_EXCESS = 0.35;
+	private static final double FREE_SHARE_FOR_EXCESS = 0.45;
 
 	private static final double FREE_SHARE_WHEN_LATE = 0.25;
 
@@ -67,14 +68,13 @@
 
 	/**
 	 * Return the number of tokens that must be free on an engine for a request.
-	 * @param engine hash of the engine's name, equal on all routers
 	 * @param tokens number of KV cache tokens that the request holds
 	 * @param capacityTokens capacity of the engine's KV cache
 	 * @return the number of tokens, at least those of the request
 	 */
-	public static long requiredTokens(int engine, long tokens, long capacityTokens) {
-		return (Math.floorMod(engine, RESERVED_ENGINE_STRIDE) == 0)
-				? Math.max(tokens, Math.round(capacityTokens * RESERVED_SHARE)) : tokens;
+	public static long requiredTokens(long tokens, long capacityTokens) {
+		boolean large = tokens >= capacityTokens * LARGE_SHARE;
+		return large ? tokens : tokens + Math.round(capacityTokens * LARGE_MARGIN);
 	}
 
 }
--- a/balsamlane-core/src/test/java/io/balsamlane/core/overload/OverloadSimulation.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/overload/OverloadSimulation.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -276,17 +278,25 @@
 				return false;
 			});
 			int slot = (int) (now / STEP_MILLIS % HISTORY);
-			this.kvHistory[slot] = this.running.stream().mapToLong(Request::tokens).sum();
+			this.kvHistory[slot] = kvTokens();
 			this.pendingHistory[slot] = pending(now);
 			this.countHistory[slot] = this.running.size();
 		}
 
+		private long kvTokens() {
+			long sum = 0;
+			for (Request request : this.running) {
+				sum += request.tokens();
+			}
+			return sum;
+		}
+
 		private long pending(long now) {
 			return Math.round(Math.max(0, this.busyUntilMillis - now) * TOKENS_PER_MILLI / this.slowFactor);
 		}
 
 		boolean start(Request request, long now) {
-			long kv = this.running.stream().mapToLong(Request::tokens).sum();
+			long kv = kvTokens();
 			if (!this.running.isEmpty() && (kv + request.tokens() > KV_TOKENS || this.running.size() >= SLOTS)) {
 				OverloadSimulation.this.refusedByEngines++;
 				return false;
@@ -354,29 +364,30 @@
 
 		private boolean place(Request request, PlacementLimits limits, long now) {
 			int free = 0;
-			int index = 0;
 			while (!this.recent.isEmpty() && this.recent.peekFirst().millis() < now - this.ageSteps * STEP_MILLIS) {
 				this.recent.removeFirst();
 			}
 			int slot = (int) (Math.max(0, now / STEP_MILLIS - this.ageSteps) % HISTORY);
+			Map<Engine, Placed> placed = new HashMap<>();
+			this.recent.forEach((placement) -> placed.computeIfAbsent(placement.engine(), (engine) -> new Placed())
+				.add(placement.request()));
 			View best = null;
 			double bestCost = Double.MAX_VALUE;
 			for (Engine engine : OverloadSimulation.this.engines) {
 				long needed = (limits.minFreeShare() == NO_RULE) ? request.tokens()
-						: PlacementLimits.requiredTokens(index++, request.tokens(), KV_TOKENS);
+						: PlacementLimits.requiredTokens(request.tokens(), KV_TOKENS);
 				long kv = engine.kvHistory[slot];
 				long pending = engine.pendingHistory[slot];
 				int count = engine.countHistory[slot];
-				for (Placement placement : this.recent) {
-					if (placement.engine() == engine) {
-						kv += placement.request().tokens();
-						pending += placement.request().promptTokens;
-						count++;
-					}
+				Placed own = placed.get(engine);
+				if (own != null) {
+					kv += own.kvTokens;
+					pending += own.pendingTokens;
+					count += own.requests;
 				}
 				double wait = Math.max(0, pending / TOKENS_PER_MILLI * engine.slowFactor);
-				if (wait <= limits.maxQueueMillis()
-						&& (count == 0 || kv + AVERAGE_TOKENS <= limits.maxFill() * KV_TOKENS)) {
+				if (wait <= limits.maxQueueMillis() && (count == 0 || kv
+						+ PlacementLimits.requiredTokens(AVERAGE_TOKENS, KV_TOKENS) <= limits.maxFill() * KV_TOKENS)) {
 					free++;
 				}
 				if (count > 0 && (kv + needed > limits.maxFill() * KV_TOKENS || count >= SLOTS)) {
@@ -402,6 +413,23 @@
 
 	}
 
+	/** What a router has placed on an engine and does not see in its view yet. */
+	private static final class Placed {
+
+		private long kvTokens;
+
+		private long pendingTokens;
+
+		private int requests;
+
+		void add(Request request) {
+			this.kvTokens += request.tokens();
+			this.pendingTokens += request.promptTokens;
+			this.requests++;
+		}
+
+	}
+
 	private record Placement(Engine engine, Request request, long millis) {
 	}
 
