Forget the lack of capacity after a load peak

Once late streams had found no capacity for a second, later ones were rejected without an attempt, also long after the peak. An unsuccessful attempt now counts for 200 ms.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/overload/OverloadQueue.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/overload/OverloadQueue.java
@@ -31,6 +31,12 @@
 	 */
 	private static final long MAX_LATE_BLOCKED_NANOS = 1_000_000_000L;
 
+	/**
+	 * Time for which an unsuccessful attempt to place a late request tells about the
+	 * capacity; several times the interval between two attempts.
+	 */
+	private static final long LATE_ATTEMPT_VALID_NANOS = 200_000_000L;
+
 	private final int maxWaiting;
 
 	private final CustomerUsage usage;
@@ -41,6 +47,8 @@
 
 	private long lateBlockedSinceNanos;
 
+	private long lateAttemptNanos;
+
 	private OverloadQueue(int maxWaiting, CustomerUsage usage) {
 		this.maxWaiting = maxWaiting;
 		this.usage = usage;
@@ -110,7 +118,7 @@
 		if (isExcessive(demand, nowNanos)) {
 			return Optional.of(Rejection.Reason.EXCESS);
 		}
-		return (this.lateBlocked && nowNanos - this.lateBlockedSinceNanos >= MAX_LATE_BLOCKED_NANOS)
+		return (isLateBlocked(nowNanos) && nowNanos - this.lateBlockedSinceNanos >= MAX_LATE_BLOCKED_NANOS)
 				? Optional.of(Rejection.Reason.NO_PROSPECT) : Optional.empty();
 	}
 
@@ -143,13 +151,15 @@
 	}
 
 	private void recordLate(boolean placed, long nowNanos) {
-		if (placed) {
-			this.lateBlocked = false;
-		}
-		else if (!this.lateBlocked) {
-			this.lateBlocked = true;
+		if (!placed && !isLateBlocked(nowNanos)) {
 			this.lateBlockedSinceNanos = nowNanos;
 		}
+		this.lateBlocked = !placed;
+		this.lateAttemptNanos = nowNanos;
+	}
+
+	private boolean isLateBlocked(long nowNanos) {
+		return this.lateBlocked && nowNanos - this.lateAttemptNanos <= LATE_ATTEMPT_VALID_NANOS;
 	}
 
 	private boolean isExcessive(Demand demand, long nowNanos) {
--- a/balsamlane-core/src/test/java/io/balsamlane/core/overload/OverloadPolicyTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/overload/OverloadPolicyTests.java
@@ -109,8 +109,8 @@
 	}
 
 	/**
-	 * Guards against a protection from a crowd that loses more of the crowd's requests than
-	 * it saves of the others.
+	 * Guards against a protection from a crowd that loses more of the crowd's requests
+	 * than it saves of the others.
 	 */
 	@Tag("known-red")
 	@ParameterizedTest
