--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -119,10 +119,9 @@
 		ServerClient client = new ServerClient(vertx, limits, dialect.requestIdHeader(),
 				UnmatchedResponseRecorder.create(log, metrics));
 		MemoryBudget budget = MemoryBudget.ofSize(Runtime.getRuntime().maxMemory() * BUDGET_HEAP_PERCENT / 100);
-		return new FrontServer(
-				new ForwardingContext(vertx, dialect, state, client, limits, log, metrics, new WaitingStreams(vertx),
-						crashGuard, reservations, ResponseMemory.ofSize(limits.maxBufferedBytes(), budget)),
-				quotas, budget, readyPath);
+		return new FrontServer(new ForwardingContext(vertx, dialect, state, client, limits, log, metrics,
+				new WaitingStreams(vertx, state.customerUsage()), crashGuard, reservations,
+				ResponseMemory.ofSize(limits.maxBufferedBytes(), budget)), quotas, budget, readyPath);
 	}
 
 	/**
