Test responses with an invalid status line or framing, and early responses

Cause: servers sent responses with the status 000, and 200s without a length that were cut off by a reset while the upload was being written; callers got both. No change of the product but the reason INVALID, which the tests name.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/UnmatchedResponse.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/UnmatchedResponse.java
@@ -3,11 +3,12 @@
 import java.util.Optional;
 
 /**
- * Response on a connection that cannot be attributed to the request in progress.
+ * Response on a connection that is invalid or cannot be attributed to the request in
+ * progress.
  *
  * @param server address of the server
- * @param reason why the response cannot be attributed
- * @param status status of the response
+ * @param reason why the response is discarded
+ * @param status status of the response, 999 if its status line is invalid
  * @param expectedId id of the request in progress, empty if there is none
  * @param receivedId id that the response carries
  * @param requests number of requests that the connection has carried
@@ -16,7 +17,7 @@
 		Optional<String> receivedId, int requests) {
 
 	/**
-	 * Reason why a response cannot be attributed.
+	 * Reason why a response is discarded.
 	 */
 	public enum Reason {
 
@@ -33,7 +34,10 @@
 		UNSOLICITED,
 
 		/** The head contains the status line of another response. */
-		MERGED
+		MERGED,
+
+		/** The status line or the framing is invalid. */
+		INVALID
 
 	}
 
--- a/balsamlane-router/src/test/java/io/balsamlane/router/http/ResponseCorrelationHandlerTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/http/ResponseCorrelationHandlerTests.java
@@ -1,25 +1,36 @@
 package io.balsamlane.router.http;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.balsamlane.router.http.UnmatchedResponse.Reason;
+import io.balsamlane.standin.proxy.InvalidResponse;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -337,4 +348,146 @@
 		}
 	}
 
+	static Stream<InvalidResponse> invalidResponses() {
+		return InvalidResponse.all();
+	}
+
+	// The head may arrive in any pieces, before or after other responses.
+	@ParameterizedTest
+	@MethodSource("invalidResponses")
+	void invalidResponseIsDecoderFailureAndClosesTheConnection(InvalidResponse fault) {
+		for (boolean informational : new boolean[] { false, true }) {
+			String text = (informational ? "HTTP/1.1 102 Processing\r\n\r\n" : "") + fault.with("Id: b\r\n", "content");
+			int headEnd = text.lastIndexOf("\r\n\r\n", text.length() - "content".length() - 1);
+			for (int length = 0; length < headEnd; length++) {
+				this.unmatched.clear();
+				EmbeddedChannel split = channel(Optional.of("Id"));
+				exchange(split, "a");
+				split.writeOutbound(request("b"));
+				receive(split, text.substring(0, length));
+				receive(split, text.substring(length));
+				split.runPendingTasks();
+				assertThat(contents(split)).as("split after %d bytes", length).isEmpty();
+				assertThat(split.isOpen()).as("open after %d bytes", length).isFalse();
+				assertThat(this.unmatched).extracting(UnmatchedResponse::reason).containsExactly(Reason.INVALID);
+				split.finishAndReleaseAll();
+			}
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 Two words",
+			"HTTP/1.1 299 X", "HTTP/1.1 999 X", "HTTP/1.1 600 X" })
+	void validResponseIsPassedOnHoweverItIsSplit(String statusLine) {
+		String text = statusLine + "\r\nId: b\r\nContent-Length: 3\r\n\r\nown";
+		for (int length = 0; length < text.length(); length++) {
+			EmbeddedChannel split = channel(Optional.of("Id"));
+			exchange(split, "a");
+			split.writeOutbound(request("b"));
+			receive(split, text.substring(0, length));
+			receive(split, text.substring(length));
+			assertThat(contents(split)).as("split after %d bytes", length).containsExactly("own");
+			split.finishAndReleaseAll();
+		}
+		assertThat(this.unmatched).isEmpty();
+	}
+
+	// The system reports the reset of a connection to the write of the upload or to the
+	// read, and an ordinary end of the connection to the other.
+	@ParameterizedTest
+	@ValueSource(strings = { "write fails", "read fails", "closed here" })
+	void bodyWithoutLengthIsNotCompleteWhenItsConnectionFails(String failure) {
+		EmbeddedChannel broken = channel(Optional.of("Id"));
+		boolean[] failing = new boolean[1];
+		broken.pipeline().addFirst(new ChannelOutboundHandlerAdapter() {
+			@Override
+			public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+				if (failing[0]) {
+					ReferenceCountUtil.release(message);
+					promise.tryFailure(new IOException("Connection reset by peer"));
+				}
+				else {
+					context.write(message, promise);
+				}
+			}
+		});
+		HttpRequest upload = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+		upload.headers().set("Id", "a").set("Transfer-Encoding", "chunked");
+		broken.writeOutbound(upload);
+		receive(broken, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart");
+		switch (failure) {
+			case "write fails" -> {
+				failing[0] = true;
+				broken.writeOneOutbound(new DefaultHttpContent(Unpooled.copiedBuffer("x", StandardCharsets.US_ASCII)));
+				broken.flushOutbound();
+			}
+			case "read fails" -> broken.pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+			default -> broken.pipeline().close();
+		}
+		endConnection(broken);
+		assertThat(ends(broken)).as("ends of the response").isZero();
+	}
+
+	@Test
+	void bodyWithoutLengthIsCompleteWhenItsConnectionEnds() {
+		send(HttpMethod.GET, "a");
+		receive("HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole");
+		endConnection(this.channel);
+		assertThat(ends(this.channel)).isEqualTo(1);
+	}
+
+	// As when the server ends the connection: not by a close that passes the handlers.
+	private static void endConnection(EmbeddedChannel of) {
+		of.unsafe().close(of.voidPromise());
+		of.runPendingTasks();
+		try {
+			of.checkException();
+		}
+		catch (Exception ex) {
+			assertThat(ex).hasMessage("Connection reset by peer");
+		}
+	}
+
+	private static FullHttpRequest request(String id) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+		request.headers().set("Id", id);
+		return request;
+	}
+
+	private static void receive(EmbeddedChannel to, String text) {
+		if (to.isOpen()) {
+			to.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+		}
+	}
+
+	private static void exchange(EmbeddedChannel on, String id) {
+		on.writeOutbound(request(id));
+		receive(on, response("200 OK", "Id: " + id + "\r\n", "first"));
+		assertThat(contents(on)).containsExactly("first");
+	}
+
+	/** Return the contents that were passed on without a decoder failure. */
+	private static List<String> contents(EmbeddedChannel from) {
+		StringBuilder content = new StringBuilder();
+		for (Object message = from.readInbound(); message != null; message = from.readInbound()) {
+			if (message instanceof HttpContent part && part.decoderResult().isSuccess()) {
+				content.append(part.content().toString(StandardCharsets.ISO_8859_1));
+			}
+			if (message instanceof HttpResponse response && response.decoderResult().isSuccess() && content.isEmpty()) {
+				assertThat(response.status().code()).isBetween(100, 999);
+			}
+			ReferenceCountUtil.release(message);
+		}
+		return content.isEmpty() ? List.of() : List.of(content.toString());
+	}
+
+	private static int ends(EmbeddedChannel from) {
+		int ends = 0;
+		for (Object message = from.readInbound(); message != null; message = from.readInbound()) {
+			ends += (message instanceof LastHttpContent) ? 1 : 0;
+			ReferenceCountUtil.release(message);
+		}
+		return ends;
+	}
+
 }
