Take no response with an invalid status line or framing for an answer

Cause: the decoder of Netty skips characters around the status, accepts signs and any number of digits, prefers Transfer-Encoding to Content-Length and uses the first of several lengths of an HTTP/1.0 response. A response without a length that a reset cut off was taken for complete if the reset was reported to the write of the upload: the read then sees an ordinary end. Change: the decoder of ResponseCorrelationHandler checks the bytes of the status line and the framing; an invalid response is a decoder failure, reported as INVALID, and closes the connection. A body that ends with its connection has no end if a write or read failed or this process closed the connection. The command-line tool, which does not use the router's clients, checks the head of its responses. All other HTTP clients of the router and of platform/ are created by ResponseCorrelation.

--- a/balsamlane-cli/src/main/java/io/balsamlane/cli/RouterClient.java
+++ b/balsamlane-cli/src/main/java/io/balsamlane/cli/RouterClient.java
@@ -21,6 +21,7 @@
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
+import io.vertx.core.net.impl.ConnectionBase;
 
 /**
  * Access to the operator ports of the routers that {@code --server} names. Each call
@@ -56,9 +57,15 @@
 	 * @return the client
 	 */
 	static RouterClient create(Vertx vertx, String servers, String key) {
-		return new RouterClient(
-				vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS)),
-				Stream.of(servers.split(",")).map(String::trim).map(RouterClient::url).toList(), key);
+		// The validator checks one response of each connection.
+		HttpClient client = vertx.httpClientBuilder()
+			.with(new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MILLIS).setKeepAlive(false))
+			.withConnectHandler((connection) -> ((ConnectionBase) connection).channel()
+				.pipeline()
+				.addFirst(new ResponseHeadValidator()))
+			.build();
+		return new RouterClient(client, Stream.of(servers.split(",")).map(String::trim).map(RouterClient::url).toList(),
+				key);
 	}
 
 	private static URI url(String text) {
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/RequestIdClients.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/RequestIdClients.java
@@ -48,7 +48,7 @@
 	// in a while.
 	private static void log(UnmatchedResponse response) {
 		logger.log(Level.WARNING,
-				"Discarded a response of {0} that cannot be attributed to its request: {1}, status {2}",
+				"Discarded a response of {0} that is invalid or not the one to its request: {1}, status {2}",
 				response.server(), response.reason(), response.status());
 		logger.log(Level.DEBUG, "Discarded response: {0}", response);
 	}
--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseCorrelationHandler.java
@@ -33,13 +33,18 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpClientOptions;
 
 /**
  * Attributes the responses on one HTTP/1.1 connection, which carries one request at a
- * time, to its requests, and discards those that belong to no request in progress.
+ * time, to its requests, and discards those that belong to no request in progress. A
+ * response with an invalid status line or framing is passed on as a decoder failure, and
+ * its connection is closed. A body that ends with the connection has no end if the
+ * connection failed.
  */
 final class ResponseCorrelationHandler extends ChannelDuplexHandler {
 
@@ -100,6 +105,15 @@
 
 	private int droppedInformational;
 
+	/** Whether the body of the response in progress ends with the connection. */
+	private boolean endsWithConnection;
+
+	/**
+	 * Whether the connection failed or is closed by this process. The system reports a
+	 * reset only once: to a write of the request, or to the read.
+	 */
+	private boolean failed;
+
 	private boolean discarding;
 
 	private long discardedBytes;
@@ -167,7 +181,21 @@
 			this.expectedIds = this.idHeader.map((header) -> idsOf(request, header)).orElse(List.of());
 			this.expectedIds.forEach(this::remember);
 		}
-		context.write(message, promise);
+		ChannelPromise written = promise.unvoid();
+		written.addListener((result) -> this.failed |= !result.isSuccess());
+		context.write(message, written);
+	}
+
+	@Override
+	public void close(ChannelHandlerContext context, ChannelPromise promise) {
+		this.failed = true;
+		context.close(promise);
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		this.failed = true;
+		context.fireExceptionCaught(cause);
 	}
 
 	private void remember(String id) {
@@ -204,6 +232,11 @@
 			discard(context, (HttpObject) message);
 			return;
 		}
+		if (message instanceof LastHttpContent && this.endsWithConnection && this.failed) {
+			// Without the end of the response, the closed connection is its failure.
+			ReferenceCountUtil.release(message);
+			return;
+		}
 		if (message instanceof LastHttpContent && this.finalResponse) {
 			this.requestInProgress = false;
 			if (this.trailingBytes) {
@@ -220,7 +253,11 @@
 			closeUnsolicited(context, response.status().code(), received.stream().findFirst());
 			return;
 		}
+		this.endsWithConnection = false;
 		if (response.decoderResult().isFailure()) {
+			report(context, UnmatchedResponse.Reason.INVALID, response.status().code(), received.stream().findFirst());
+			// Vert.x has to fail the request with the cause before the connection ends.
+			context.executor().execute(context::close);
 			return;
 		}
 		if (this.requests > 1 && containsStatusLine(response)) {
@@ -245,6 +282,7 @@
 			return;
 		}
 		this.attributed = true;
+		this.endsWithConnection = !this.headRequest && !isSelfDelimited(response);
 		// Vert.x recognises the option only if it is the only one.
 		boolean closes = response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
 		if (received.isEmpty() || this.unmatched || closes) {
@@ -340,10 +378,33 @@
 	}
 
 	/**
-	 * Decoder that reports whether bytes follow the end of a response.
+	 * Decoder that reports whether bytes follow the end of a response, and that accepts
+	 * only valid status lines and framings. The decoder of Netty skips characters before
+	 * and between the words of a status line, accepts signs and any number of digits in
+	 * the status, and prefers {@code Transfer-Encoding} to {@code Content-Length}.
+	 *
+	 * @see <a href="https://www.rfc-editor.org/rfc/rfc9112#section-4">RFC 9112, sections
+	 * 4 and 6</a>
 	 */
 	private final class ResponseDecoder extends HttpResponseDecoder {
 
+		private static final String VERSION_PREFIX = "HTTP/1.";
+
+		private static final int STATUS_START = VERSION_PREFIX.length() + 2;
+
+		private static final int STATUS_END = STATUS_START + 3;
+
+		private boolean headBegun;
+
+		private boolean validStart;
+
+		private int lengthHeaders;
+
+		/** The bytes being decoded, and where the present line starts in them. */
+		private ByteBuf line;
+
+		private int lineStart;
+
 		ResponseDecoder(HttpClientOptions options) {
 			super(new HttpDecoderConfig().setMaxInitialLineLength(options.getMaxInitialLineLength())
 				.setMaxHeaderSize(options.getMaxHeaderSize())
@@ -354,14 +415,84 @@
 		@Override
 		protected void decode(ChannelHandlerContext context, ByteBuf bytes, List<Object> messages) throws Exception {
 			int before = messages.size();
+			beginLine(bytes);
 			super.decode(context, bytes, messages);
 			if (messages.size() > before && messages.get(messages.size() - 1) instanceof LastHttpContent) {
 				ResponseCorrelationHandler.this.trailingBytes = bytes.isReadable();
+				this.headBegun = false;
+			}
+		}
+
+		// Netty drops control characters before a status line at once, and reads the
+		// line itself only as a whole.
+		private void beginLine(ByteBuf bytes) {
+			if (!this.headBegun && bytes.isReadable()) {
+				this.headBegun = true;
+				this.validStart = bytes.getByte(bytes.readerIndex()) == VERSION_PREFIX.charAt(0);
+				this.lengthHeaders = 0;
 			}
+			this.line = bytes;
+			this.lineStart = bytes.readerIndex();
 		}
 
+		@Override
+		protected HttpMessage createMessage(String[] words) {
+			if (!this.validStart || !isValidStatusLine()) {
+				throw new IllegalArgumentException("invalid status line");
+			}
+			return super.createMessage(words);
+		}
+
+		private boolean isValidStatusLine() {
+			return isText(0, VERSION_PREFIX) && (isText(STATUS_START - 2, "0 ") || isText(STATUS_START - 2, "1 "))
+					&& isDigit(STATUS_START, '1') && isDigit(STATUS_START + 1, '0') && isDigit(STATUS_START + 2, '0')
+					&& (isText(STATUS_END, " ") || isText(STATUS_END, "\r\n") || isText(STATUS_END, "\n"));
+		}
+
+		private boolean isText(int offset, String text) {
+			for (int index = 0; index < text.length(); index++) {
+				if (byteAt(offset + index) != text.charAt(index)) {
+					return false;
+				}
+			}
+			return true;
+		}
+
+		private boolean isDigit(int offset, char lowest) {
+			return byteAt(offset) >= lowest && byteAt(offset) <= '9';
+		}
+
+		private int byteAt(int offset) {
+			int index = this.lineStart + offset;
+			return (index < this.line.writerIndex()) ? this.line.getByte(index) : -1;
+		}
+
+		// Netty uses the first of several lengths of an HTTP/1.0 response.
+		@Override
+		protected AsciiString splitHeaderName(byte[] bytes, int start, int length) {
+			AsciiString name = super.splitHeaderName(bytes, start, length);
+			if (HttpHeaderNames.CONTENT_LENGTH.contentEqualsIgnoreCase(name)) {
+				this.lengthHeaders++;
+			}
+			return name;
+		}
+
+		// Called once for each head, before Netty resolves contradictions in its framing.
 		@Override
 		protected boolean isContentAlwaysEmpty(HttpMessage message) {
+			List<String> encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+			if (this.lengthHeaders > 1) {
+				throw new IllegalArgumentException("several Content-Length headers");
+			}
+			if (!encodings.isEmpty()) {
+				if (this.lengthHeaders > 0) {
+					throw new IllegalArgumentException("Transfer-Encoding beside Content-Length");
+				}
+				if (encodings.size() > 1 || !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0))
+						|| !message.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
+					throw new IllegalArgumentException("invalid Transfer-Encoding");
+				}
+			}
 			return ResponseCorrelationHandler.this.headRequest || super.isContentAlwaysEmpty(message);
 		}
 
