Publish a host in the host list of the invalid responses

Cause: an empty list equals the one before the first poll, so the valid list of the test never reached the listener. Change: the list has one host; the checks are the same. The whole tests of the modules were not run.

--- a/balsamlane-router/src/test/java/io/balsamlane/router/http/InvalidControlResponseTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/http/InvalidControlResponseTests.java
@@ -55,6 +55,9 @@
 	/** Number of connections that the client has closed. */
 	private static final AtomicInteger CLOSED = new AtomicInteger();
 
+	private static final String HOSTS = "[{\"host\":\"service-1\",\"kind\":\"service\",\"name\":\"ledger\","
+			+ "\"place\":\"doto-a\",\"region\":\"doto\",\"address\":\"127.0.0.1\",\"port\":1,\"state\":\"live\"}]";
+
 	private static final Pattern REQUEST_ID = Pattern.compile("(?i)\r\nx-request-id: ([^\r]*)");
 
 	private final Vertx vertx = Vertx.vertx();
@@ -196,7 +199,7 @@
 							.issue(name, server, new EngineOrder(EngineOrder.Kind.ROLE, "prefill"), 1,
 									System.nanoTime() + 10_000_000_000L)),
 				call("load", "{\"memoryPieces\":1}", "[EngineLoad", "[]", InvalidControlResponseTests::poll),
-				call("host list", "[]", "[HostList", "[]", InvalidControlResponseTests::readHosts),
+				call("host list", HOSTS, "[HostList", "[]", InvalidControlResponseTests::readHosts),
 				call("value", "value", "Found[", "Unavailable[", (vertx, server) -> store(vertx, server).get("key")),
 				call("watch", "value", "Found[", "Unavailable[",
 						(vertx, server) -> store(vertx, server).watch("key", 1)),
