--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/FrontServer.java
@@ -220,6 +220,13 @@
 
 	private void handle(HttpServerRequest request) {
 		long startNanos = System.nanoTime();
+		if (request.response().writeQueueFull()) {
+			// Responses to pipelined requests would wait in the queue of Vert.x, which
+			// has no
+			// limit, while the caller does not read the earlier ones.
+			this.callerGuard.responseNotRead(request);
+			return;
+		}
 		Optional<ForwardingConfiguration> configuration = this.context.state().configuration();
 		if (configuration.isEmpty()) {
 			refuse(request, Refusal.withRetry(ErrorKind.NOT_CONFIGURED, Ran.NO, "no configuration has been loaded yet",
--- a/balsamlane-router/src/main/java/io/balsamlane/router/intake/CallerGuard.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/intake/CallerGuard.java
@@ -156,6 +156,18 @@
 		}
 	}
 
+	/**
+	 * Close the connection of a caller that sends requests without reading the responses
+	 * to the earlier ones.
+	 * @param request the request, which is not run
+	 */
+	public void responseNotRead(HttpServerRequest request) {
+		ConnectionGuard guard = guard(request);
+		if (guard != null) {
+			guard.close("response-not-read");
+		}
+	}
+
 	// The handlers of a closed connection have been removed.
 	private static ConnectionGuard guard(HttpServerRequest request) {
 		return ((ConnectionBase) request.connection()).channel().pipeline().get(ConnectionGuard.class);
