Release the memory of a response together with its accounting

Cause: HostileCallerTests, responses that nobody reads, ended the process in about every second run. A heap dump showed 17 to 29 response buffers of 512 KiB to 1 MiB beyond the budget: the handlers of the last response of each idle server connection retained its content, and the bytes that a caller had not read were reserved at the flush only. Change: the handlers are removed at the end of a response; unread bytes are reserved when they are written. A body is copied for the search of a second response only where its framing allows one.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
@@ -71,12 +71,21 @@
 		}
 		response.exceptionHandler((cause) -> promise.tryFail(String.valueOf(cause.getMessage())));
 		response.endHandler((ended) -> {
-			if (ResponseFraming.containsSecondResponse(response, content.getBytes())) {
+			if (ResponseFraming.endsWithConnection(response)
+					&& ResponseFraming.containsSecondResponse(response, content.getBytes())) {
 				promise.tryFail("a second response follows");
 			}
 			promise.tryComplete(content);
 		});
-		return promise.future().onComplete((read) -> memory.release(content.length()));
+		return promise.future().onComplete((read) -> {
+			memory.release(content.length());
+			// An idle connection of the client refers to its last response, which must not
+			// retain the content.
+			response.handler(null).endHandler(null);
+			if (read.succeeded()) {
+				response.exceptionHandler(null);
+			}
+		});
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/intake/UnreadResponseMonitor.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/intake/UnreadResponseMonitor.java
@@ -43,21 +43,23 @@
 			super.write(context, message, promise);
 			return;
 		}
-		int size = bytes.readableBytes();
+		// The buffer of a response that was read completely is larger than its content.
+		int size = bytes.capacity();
 		this.unreadBytes += size;
 		super.write(context, message, promise.unvoid().addListener((written) -> {
 			this.unreadBytes -= size;
 			adjust();
 		}));
+		// Other responses may be written before this one is flushed.
+		if (!adjust() || this.unreadBytes > MAX_UNREAD_BYTES) {
+			this.guard.close("response-not-read");
+		}
 	}
 
 	@Override
 	public void flush(ChannelHandlerContext context) throws Exception {
 		super.flush(context);
-		if (!adjust() || this.unreadBytes > MAX_UNREAD_BYTES) {
-			this.guard.close("response-not-read");
-		}
-		else if (this.unreadBytes > 0 && this.timer == null) {
+		if (this.unreadBytes > 0 && this.timer == null) {
 			this.checkedBytes = pendingBytes(context);
 			scheduleCheck(context);
 		}
