--- a/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/http/ResponseBodyReader.java
@@ -79,7 +79,8 @@
 		});
 		return promise.future().onComplete((read) -> {
 			memory.release(content.length());
-			// An idle connection of the client refers to its last response, which must not
+			// An idle connection of the client refers to its last response, which must
+			// not
 			// retain the content.
 			response.handler(null).endHandler(null);
 			if (read.succeeded()) {
