--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -55,6 +55,8 @@
 
 	private final RetryRule retryRule;
 
+	private boolean limitsPlacement;
+
 	private Map<String, OverloadRule> overloadRules = Map.of();
 
 	private final CustomerUsage customerUsage = CustomerUsage.create();
@@ -100,6 +102,15 @@
 				SharedLoadPlacement.create(rates, region, place, RandomSource.XO_RO_SHI_RO_128_PP.create()), retryRule);
 	}
 
+	/**
+	 * Place waiting streams within the limits of their standing from the next
+	 * configuration on, instead of by free memory alone. It is a setting, because it
+	 * served the callers of one deployment worse, see docs/design/overload.md.
+	 */
+	public void limitPlacement() {
+		this.limitsPlacement = true;
+	}
+
 	/**
 	 * Apply a configuration if it is newer than the one in force.
 	 * @param next the configuration
@@ -118,7 +129,7 @@
 			.forEach((problem) -> this.log.log("customer-configuration-error", "", "version", next.version(), "problem",
 					problem));
 		this.configuration = next;
-		this.overloadRules = OverloadRule.byService(next);
+		this.overloadRules = this.limitsPlacement ? OverloadRule.byService(next) : Map.of();
 		this.configurationNanos = System.nanoTime();
 		return true;
 	}
