--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -105,7 +105,7 @@
 	/**
 	 * Place waiting streams within the limits of their standing from the next
 	 * configuration on, instead of by free memory alone. It is a setting, because it
-	 * served the callers of one deployment worse, see docs/design/overload.md.
+	 * showed no gain for callers on the benchmark, see docs/design/overload.md.
 	 */
 	public void limitPlacement() {
 		this.limitsPlacement = true;
