--- a/balsamlane-core/src/main/java/io/balsamlane/core/quota/QuotaOwner.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/quota/QuotaOwner.java
@@ -120,9 +120,7 @@
 					nowNanos);
 		}
 		else {
-			// This small capacity is also what this router starts with when it becomes
-			// the
-			// owner.
+			// This small capacity is also the one with which a new owner starts.
 			account.bucket.configure(quota, this.tolerance.substituteShare(quota), this.tolerance.startTokens(quota),
 					nowNanos);
 		}
