--- a/balsamlane-core/src/test/java/io/balsamlane/core/overload/OverloadPolicyTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/overload/OverloadPolicyTests.java
@@ -29,7 +29,7 @@
 
 	/**
 	 * The constants of {@link PlacementLimits} were chosen with seeds 11 to 13; the
-	 * others were not used for that.
+	 * others were used for one of them, the share of free engines for a crowd.
 	 */
 	private static final long[] SEEDS = { 11, 12, 13, 21, 22, 23 };
 
