--- a/review/standins-2/Main.java
+++ b/review/standins-2/Main.java
@@ -19,6 +19,8 @@
 		try {
 			result = switch (args[0]) {
 				case "store-drill" -> StoreDrill.run(record, folder, StoreDrill.LARGE_FLEET, trouble);
+				case "store-drill-silent" -> StoreDrill.run(record, folder, StoreDrill.SMALL_FLEET, trouble);
+				case "quota-restart" -> QuotaRestart.run(record, folder, trouble);
 				default -> 2;
 			};
 		}
