--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -362,7 +363,12 @@
 	}
 
 	private static void reset(Socket connection) throws IOException {
-		connection.setSoLinger(true, 0);
+		try {
+			connection.setSoLinger(true, 0);
+		}
+		catch (SocketException ex) {
+			// The router has closed it meanwhile.
+		}
 		connection.close();
 	}
 
