--- a/review/standins-2/QuotaRestart.java
+++ b/review/standins-2/QuotaRestart.java
@@ -18,7 +18,7 @@
 
 	private static final String KEY = "asnmgkcuyj8pjbvk9m68";
 
-	private static final int ROUTERS = 7;
+	private static final int ROUTERS = 10;
 
 	/** Quota of the tenant, in tokens. */
 	private static final long RATE = 2000;
@@ -26,7 +26,7 @@
 	private static final long BURST = 8000;
 
 	/** Tokens of each request: fewer than the memory of a replica. */
-	private static final long PROMPT = 30_000;
+	private static final long PROMPT = 28_000;
 
 	/** (rate_per_s x window + burst) x (1 + quota_excess) + quota_tolerance. */
 	private static final double LIMIT = (RATE * 8 + BURST) * 1.1 + 140_000;
