--- a/review/standins-2/Replica.java
+++ b/review/standins-2/Replica.java
@@ -26,10 +26,6 @@
 
 	private final ServerSocket socket;
 
-	private volatile String state = "ready";
-
-	private volatile boolean left;
-
 	private volatile Responder responder;
 
 	private long seq;
@@ -72,9 +68,9 @@
 	private void register() throws InterruptedException {
 		// The replicas do not write at the same moment.
 		Thread.sleep(Math.floorMod(this.id.hashCode() * 97L, HEARTBEAT_MILLIS));
-		while (!this.left) {
+		while (true) {
 			write();
-			for (int step = 0; step < HEARTBEAT_MILLIS / 100 && !this.left; step++) {
+			for (int step = 0; step < HEARTBEAT_MILLIS / 100; step++) {
 				Thread.sleep(100);
 				// What was lost with the store is written again.
 				if (!this.store.isAway() && !this.store.contains("servers/" + this.id)) {
@@ -85,19 +81,10 @@
 	}
 
 	private synchronized void write() {
-		if (!this.left) {
-			this.store.put("servers/" + this.id,
-					Json.of("service", this.service, "address", "127.0.0.1:" + this.socket.getLocalPort(), "zone",
-							"zone-a", "version", "v1", "slots", 6, "state", this.state, "cold_left_ms", 0, "seq",
-							++this.seq, "born", this.bornMillis));
-		}
-	}
-
-	/** Reports that it is leaving. */
-	void drain() {
-		this.state = "draining";
-		write();
-		this.record.line("replica " + this.id + ": reported draining");
+		this.store.put("servers/" + this.id,
+				Json.of("service", this.service, "address", "127.0.0.1:" + this.socket.getLocalPort(), "zone", "zone-a",
+						"version", "v1", "slots", 6, "state", "ready", "cold_left_ms", 0, "seq", ++this.seq, "born",
+						this.bornMillis));
 	}
 
 	private void accept() throws IOException {
--- a/review/standins-2/Routers.java
+++ b/review/standins-2/Routers.java
@@ -158,10 +158,6 @@
 		}
 	}
 
-	static void signal(String name, Process process) throws IOException, InterruptedException {
-		new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).inheritIO().start().waitFor();
-	}
-
 	void stopAll() throws InterruptedException {
 		this.processes.forEach(Process::destroyForcibly);
 		for (Process process : this.processes) {
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -336,19 +336,6 @@
 		return this.revision;
 	}
 
-	/** Removes a replica's entry. */
-	synchronized void delete(String key) {
-		if (!this.away) {
-			this.revision++;
-			remove(key);
-			notifyAll();
-		}
-	}
-
-	synchronized long revision() {
-		return this.revision;
-	}
-
 	synchronized boolean isAway() {
 		return this.away;
 	}
@@ -387,13 +374,6 @@
 		notifyAll();
 	}
 
-	/** The store comes back with all that it had. */
-	synchronized void comeBack() {
-		this.away = false;
-		notifyAll();
-		this.record.line("store: back at revision " + this.revision + ", nothing lost");
-	}
-
 	/** The store comes back from a copy. Connections from before stay silent. */
 	synchronized void comeBackFrom(Copy copy) {
 		this.items = copy.items();
@@ -408,8 +388,7 @@
 				+ this.era);
 	}
 
-	/** Ends the connections that have been silent. */
-	synchronized void resetSilenced() throws IOException {
+	private void resetSilenced() throws IOException {
 		for (Socket connection : List.copyOf(this.silenced)) {
 			reset(connection);
 		}
