--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,7 +6,11 @@
 [ -f target/review-2/review2/Main.class ] && [ -d target/balsamlane-platform ] || { echo "build first"; exit 2; }
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 112 java -Djava.io.tmpdir="$folder" -cp target/review-2 review2.Main store-drill-silent review/8/record.txt "${TROUBLE:-1}"
+timeout -k 5 112 java -Djava.io.tmpdir="$folder" -cp target/review-2 review2.Main store-drill-silent review/8/record.txt "${TROUBLE:-1}" &
+child=$!
+# A script that is stopped ends its routers before it exits.
+trap 'kill "$child" 2>/dev/null; wait "$child"; exit 2' INT TERM
+wait "$child"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
