Compare revisions of the store within one era only

Cause: the router that reads the store for its region answers a watch from a revision above its own with "no changes". After a restoration such a revision names contents that no longer exist, so the changes up to it are never delivered. Evidence: the reader logs configuration-applied for the new version, the other routers do not.

Relayed watches and exchanged views name the era of their revision; the reader drops its histories when the era rises and answers a watch of an earlier era with "read again". Routers do not adopt an era from each other, so one wrong number cannot spread.

Why it works: a revision is only compared with revisions of the same era; otherwise the router reads everything again.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/PeerViews.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/PeerViews.java
@@ -29,19 +29,24 @@
 
 	private final PeerNetwork peers;
 
+	private final StoreEras eras;
+
 	private final Map<String, Supplier<Optional<StoreSnapshot>>> localViews = new HashMap<>();
 
-	private PeerViews(PeerNetwork peers) {
+	private PeerViews(PeerNetwork peers, StoreEras eras) {
 		this.peers = peers;
+		this.eras = eras;
 	}
 
 	/**
 	 * Create the exchange and start answering queries of other routers.
 	 * @param peers the network of routers
+	 * @param eras the eras of the store; a view of an earlier era than the one known to
+	 * this router is not used
 	 * @return the exchange
 	 */
-	public static PeerViews create(PeerNetwork peers) {
-		PeerViews views = new PeerViews(peers);
+	public static PeerViews create(PeerNetwork peers, StoreEras eras) {
+		PeerViews views = new PeerViews(peers, eras);
 		peers.register(PeerMessage.BodyCase.STORE_VIEW_QUERY, (from, message) -> Future.succeededFuture(
 				PeerMessage.newBuilder().setStoreView(views.answer(message.getStoreViewQuery().getPrefix()))));
 		return views;
@@ -57,9 +62,8 @@
 	}
 
 	private StoreView answer(String prefix) {
-		return Optional.ofNullable(this.localViews.get(prefix))
-			.flatMap(Supplier::get)
-			.map((view) -> StoreView.newBuilder()
+		return Optional.ofNullable(this.localViews.get(prefix)).flatMap(Supplier::get).map((view) -> {
+			StoreView.Builder answer = StoreView.newBuilder()
 				.setKnown(true)
 				.setAgeMillis((int) Math.min(Integer.MAX_VALUE, view.ageMillis()))
 				.addAllItems(view.items()
@@ -68,9 +72,10 @@
 						.setKey(item.key())
 						.setValue(ByteString.copyFrom(item.value()))
 						.build())
-					.toList())
-				.build())
-			.orElse(StoreView.getDefaultInstance());
+					.toList());
+			this.eras.current().ifPresent((era) -> answer.setStoreEra(era.number()));
+			return answer.build();
+		}).orElse(StoreView.getDefaultInstance());
 	}
 
 	/**
@@ -92,14 +97,19 @@
 			.orElseThrow();
 		PeerMessage.Builder message = PeerMessage.newBuilder()
 			.setStoreViewQuery(StoreViewQuery.newBuilder().setPrefix(prefix));
-		return this.peers.call(target.host(), message, CALL_TIMEOUT_MILLIS).map(PeerViews::snapshot);
+		return this.peers.call(target.host(), message, CALL_TIMEOUT_MILLIS).map(this::snapshot);
 	}
 
-	private static Optional<StoreSnapshot> snapshot(PeerReply reply) {
+	private Optional<StoreSnapshot> snapshot(PeerReply reply) {
 		if (!(reply instanceof PeerReply.Answered answered) || !answered.message().getStoreView().getKnown()) {
 			return Optional.empty();
 		}
 		StoreView view = answered.message().getStoreView();
+		boolean outdated = view.hasStoreEra()
+				&& this.eras.current().filter((era) -> era.compareTo(new StoreEra(view.getStoreEra())) > 0).isPresent();
+		if (outdated) {
+			return Optional.empty();
+		}
 		return Optional.of(new StoreSnapshot(view.getItemsList()
 			.stream()
 			.map((item) -> new PrefixRead.Item(item.getKey(), item.getValue().toByteArray()))
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/RelayedPrefixStore.java
@@ -24,11 +24,12 @@
  * {@link PrefixStore} that watches the store through the router that reads it for the
  * region, so that the number of calls to the store does not grow with the number of
  * routers. Revisions are those of the store, so a watch may switch between the reader and
- * the store at any revision. A reader that does not answer, or has had no recent answer
- * from the store itself, is bypassed for some time. Values that mean the same to a router
- * as the ones before them are not passed on, so that heartbeats of servers cause neither
- * messages nor decoding on each router; the revision advances nevertheless. Confined to
- * one event loop.
+ * the store at any revision of the same era. After a restoration of the store, the reader
+ * drops its histories and lets the other routers read the store again. A reader that does
+ * not answer, or has had no recent answer from the store itself, is bypassed for some
+ * time. Values that mean the same to a router as the ones before them are not passed on,
+ * so that heartbeats of servers cause neither messages nor decoding on each router; the
+ * revision advances nevertheless. Confined to one event loop.
  */
 public final class RelayedPrefixStore implements PrefixStore {
 
@@ -73,6 +74,8 @@
 
 	private final PeerNetwork peers;
 
+	private final StoreEras eras;
+
 	private final Supplier<Optional<HostName>> reader;
 
 	private final BiFunction<String, byte[], Object> meaning;
@@ -85,11 +88,12 @@
 
 	private long bypassUntilNanos = System.nanoTime();
 
-	private RelayedPrefixStore(Vertx vertx, PrefixStore store, PeerNetwork peers, Supplier<Optional<HostName>> reader,
-			BiFunction<String, byte[], Object> meaning, Listener listener) {
+	private RelayedPrefixStore(Vertx vertx, PrefixStore store, PeerNetwork peers, StoreEras eras,
+			Supplier<Optional<HostName>> reader, BiFunction<String, byte[], Object> meaning, Listener listener) {
 		this.vertx = vertx;
 		this.store = store;
 		this.peers = peers;
+		this.eras = eras;
 		this.reader = reader;
 		this.meaning = meaning;
 		this.listener = listener;
@@ -100,6 +104,7 @@
 	 * @param vertx provides the event loop
 	 * @param store the store
 	 * @param peers the network of routers
+	 * @param eras the eras of the store
 	 * @param reader supplies the router that reads the store for this router's region,
 	 * empty if each router reads the store itself
 	 * @param meaning returns what a router reads from the value of a key; a value whose
@@ -107,9 +112,9 @@
 	 * @param listener notified when the reader cannot be used
 	 * @return the store
 	 */
-	public static RelayedPrefixStore create(Vertx vertx, PrefixStore store, PeerNetwork peers,
+	public static RelayedPrefixStore create(Vertx vertx, PrefixStore store, PeerNetwork peers, StoreEras eras,
 			Supplier<Optional<HostName>> reader, BiFunction<String, byte[], Object> meaning, Listener listener) {
-		return new RelayedPrefixStore(vertx, store, peers, reader, meaning, listener);
+		return new RelayedPrefixStore(vertx, store, peers, eras, reader, meaning, listener);
 	}
 
 	/**
@@ -120,6 +125,10 @@
 				(from, message) -> awaitChange(message.getStoreWatchQuery())
 					.map((read) -> PeerMessage.newBuilder().setStoreChanges(encode(read))));
 		this.vertx.setPeriodic(CHECK_INTERVAL_MILLIS, (id) -> answerPendingWatches());
+		this.eras.addListener((previous, current) -> {
+			this.histories.clear();
+			answerPendingWatches();
+		});
 	}
 
 	@Override
@@ -140,12 +149,13 @@
 		if (System.nanoTime() - this.bypassUntilNanos < 0) {
 			return this.store.watch(prefix, afterRevision, Math.min(waitMillis, BYPASS_MILLIS));
 		}
-		PeerMessage.Builder query = PeerMessage.newBuilder()
-			.setStoreWatchQuery(StoreWatchQuery.newBuilder()
-				.setPrefix(prefix)
-				.setAfterRevision(afterRevision)
-				.setWaitMillis((int) Math.min(waitMillis, RELAYED_WATCH_MILLIS)));
-		return this.peers.call(target.get(), query, RELAYED_WATCH_MILLIS + CALL_MARGIN_MILLIS).compose((reply) -> {
+		StoreWatchQuery.Builder query = StoreWatchQuery.newBuilder()
+			.setPrefix(prefix)
+			.setAfterRevision(afterRevision)
+			.setWaitMillis((int) Math.min(waitMillis, RELAYED_WATCH_MILLIS));
+		this.eras.current().ifPresent((era) -> query.setStoreEra(era.number()));
+		PeerMessage.Builder message = PeerMessage.newBuilder().setStoreWatchQuery(query);
+		return this.peers.call(target.get(), message, RELAYED_WATCH_MILLIS + CALL_MARGIN_MILLIS).compose((reply) -> {
 			PrefixRead read = decode(reply);
 			if (read instanceof PrefixRead.Unavailable unavailable) {
 				this.listener.readerBypassed(target.get(), prefix, unavailable.message());
@@ -195,6 +205,16 @@
 	}
 
 	private Optional<PrefixRead> answer(StoreWatchQuery query, boolean expired, long nowNanos) {
+		Optional<StoreEra> current = this.eras.current();
+		if (query.hasStoreEra() && current.isPresent()) {
+			int comparison = current.get().compareTo(new StoreEra(query.getStoreEra()));
+			if (comparison > 0) {
+				return Optional.of(new PrefixRead.HistoryLost());
+			}
+			if (comparison < 0) {
+				return Optional.of(new PrefixRead.Unavailable("a view from before the store was restored"));
+			}
+		}
 		StoreHistory history = this.histories.get(query.getPrefix());
 		if (history == null && !expired) {
 			// All routers of a fleet start simultaneously: the first answer of the store
--- a/balsamlane-router/src/test/java/io/balsamlane/router/peer/LoopbackNetworks.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/peer/LoopbackNetworks.java
@@ -46,6 +46,10 @@
 		this.isolated.add(host);
 	}
 
+	public void rejoin(HostName host) {
+		this.isolated.remove(host);
+	}
+
 	public long calls() {
 		return this.calls.get();
 	}
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
@@ -1,10 +1,11 @@
 package io.balsamlane.router.store;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -41,6 +42,10 @@
 
 	private final SinglePeerNetwork peer = new SinglePeerNetwork();
 
+	private final StoreEras eras = StoreEras.create();
+
+	private PrefixWatcher watcher;
+
 	private final List<String> events = new CopyOnWriteArrayList<>();
 
 	@AfterEach
@@ -49,9 +54,9 @@
 	}
 
 	private void start() {
-		PrefixWatcher watcher = PrefixWatcher.create(this.vertx, this.store, "servers/", 100, new Recorder(),
-				PeerViews.create(this.peer));
-		this.vertx.runOnContext((ignored) -> watcher.start());
+		this.watcher = PrefixWatcher.create(this.vertx, this.store, "servers/", 100, new Recorder(),
+				PeerViews.create(this.peer, this.eras));
+		this.vertx.runOnContext((ignored) -> this.watcher.start());
 	}
 
 	private void awaitEvent(String text) throws InterruptedException {
@@ -154,6 +159,26 @@
 		assertThat(this.events).doesNotContain("taken");
 	}
 
+	// Guards against the view of a router that has not noticed the restoration yet.
+	@Test
+	void viewOfPeerFromBeforeRestorationIsNotAdopted() throws Exception {
+		this.eras.observe(new StoreEra(4), Optional.empty());
+		this.store.defaultAnswer = new PrefixRead.Unavailable("down");
+		StoreView.Builder view = StoreView.newBuilder()
+			.setKnown(true)
+			.addItems(StoreItem.newBuilder().setKey("servers/p").setValue(ByteString.copyFromUtf8("p")));
+		this.peer.view = view.setStoreEra(3).build();
+		start();
+		long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+		while (this.peer.calls < 2) {
+			assertThat(System.nanoTime()).as("waiting for two queries").isLessThan(limit);
+			Thread.sleep(5);
+		}
+		assertThat(this.events).doesNotContain("taken");
+		this.peer.view = view.setStoreEra(4).build();
+		awaitEvent("taken");
+	}
+
 	private static void requireWellFormed(List<PrefixRead.Item> items) {
 		if (items.stream().anyMatch((item) -> item.key().endsWith("malformed"))) {
 			throw new IllegalArgumentException("malformed value");
@@ -195,12 +220,18 @@
 	/** Store that returns scripted answers in order, then a default answer or none. */
 	private static final class ScriptedPrefixStore implements PrefixStore {
 
-		private final Deque<PrefixRead> answers = new ArrayDeque<>();
+		private final Deque<PrefixRead> answers = new ConcurrentLinkedDeque<>();
 
 		private final List<String> calls = new CopyOnWriteArrayList<>();
 
+		private final List<Promise<PrefixRead>> outstanding = new CopyOnWriteArrayList<>();
+
 		private volatile PrefixRead defaultAnswer;
 
+		int lists() {
+			return (int) this.calls.stream().filter("list"::equals).count();
+		}
+
 		@Override
 		public Future<PrefixRead> list(String prefix) {
 			this.calls.add("list");
@@ -218,7 +249,12 @@
 			if (answer == null) {
 				answer = this.defaultAnswer;
 			}
-			return (answer != null) ? Future.succeededFuture(answer) : Promise.<PrefixRead>promise().future();
+			if (answer != null) {
+				return Future.succeededFuture(answer);
+			}
+			Promise<PrefixRead> later = Promise.promise();
+			this.outstanding.add(later);
+			return later.future();
 		}
 
 	}
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/RelayedPrefixStoreTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/RelayedPrefixStoreTests.java
@@ -81,14 +81,16 @@
 
 	private void watch(Member self) {
 		PeerNetwork network = this.networks.of(self);
+		StoreEras eras = StoreEras.create();
 		RelayedPrefixStore relayed = RelayedPrefixStore.create(this.vertx, this.store.forRouter(self.host()), network,
-				() -> Optional.of(READER.host()),
+				eras, () -> Optional.of(READER.host()),
 				// A heartbeat differs from the entry before it after the colon only.
 				(key, value) -> new String(value, StandardCharsets.UTF_8).split(":")[0],
 				(reader, prefix, reason) -> this.bypassingRouters.add(self.host().value()));
 		relayed.start();
 		PrefixWatcher
-			.create(this.vertx, relayed, PREFIX, 3000, new Recorder(self.host().value()), PeerViews.create(network))
+			.create(this.vertx, relayed, PREFIX, 3000, new Recorder(self.host().value()),
+					PeerViews.create(network, eras))
 			.start();
 	}
 
--- /dev/null
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/StoreRestorationTests.java
@@ -0,0 +1,241 @@
+package io.balsamlane.router.store;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+
+import io.balsamlane.core.membership.Member;
+import io.balsamlane.core.model.Endpoint;
+import io.balsamlane.core.model.HostName;
+import io.balsamlane.core.model.Place;
+import io.balsamlane.router.peer.LoopbackNetworks;
+import io.balsamlane.router.peer.PeerNetwork;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of fleets whose store is restored from a copy. Guards against routers that never
+ * read what was written between the revision of the copy and the one that they knew
+ * before.
+ */
+class StoreRestorationTests {
+
+	/**
+	 * Platform rules: the bound of a change, 2.5 s, and its extension while the store is
+	 * not stable, 6 s.
+	 */
+	private static final long MAX_CHANGE_DELAY_MILLIS = 8500;
+
+	private static final String PREFIX = "servers/";
+
+	private static final int LARGE_FLEET = 20;
+
+	private static String key(int number) {
+		return PREFIX + number;
+	}
+
+	// Guards against a reader that tells the routers of its region that nothing has
+	// changed
+	// since a revision that does not exist any more.
+	@ParameterizedTest
+	@EnumSource(names = { "KEPT", "RESET" })
+	void relayedChangeAfterRestorationArrives(RestorableStore.Connections connections) throws Exception {
+		changeAfterRestorationArrives(LARGE_FLEET, true, connections);
+	}
+
+	private void changeAfterRestorationArrives(int routers, boolean relayed, RestorableStore.Connections connections)
+			throws Exception {
+		try (Fleet fleet = new Fleet(routers, relayed)) {
+			fleet.run((store) -> store.put(key(1), "first"));
+			fleet.awaitViews();
+			RestorableStore.State copy = fleet.call(() -> fleet.store.copy());
+			fleet.run((store) -> IntStream.range(0, 10).forEach((beat) -> store.put(key(2), "beat " + beat)));
+			fleet.awaitViews();
+			fleet.run((store) -> store.restore(copy, connections));
+			fleet.writeUntilKnownRevisionIsPassed("after the restoration");
+			fleet.awaitViews();
+		}
+	}
+
+	// Guards against a router that was cut off from the store and from the other routers
+	// during the restoration, and then watches from a revision of before.
+	@Test
+	void routerThatWasCutOffMeanwhileReadsAgain() throws Exception {
+		try (Fleet fleet = new Fleet(LARGE_FLEET, true)) {
+			HostName host = fleet.members.get(5).host();
+			fleet.run((store) -> store.put(key(1), "first"));
+			fleet.awaitViews();
+			RestorableStore.State copy = fleet.call(() -> fleet.store.copy());
+			fleet.run((store) -> {
+				IntStream.range(0, 10).forEach((beat) -> store.put(key(2), "beat " + beat));
+				store.cutOff(host);
+				fleet.networks.isolate(host);
+			});
+			Thread.sleep(200);
+			fleet.run((store) -> store.restore(copy, RestorableStore.Connections.KEPT));
+			fleet.writeUntilKnownRevisionIsPassed("after the restoration");
+			Thread.sleep(2000);
+			fleet.run((store) -> {
+				store.reconnect(host);
+				fleet.networks.rejoin(host);
+			});
+			fleet.awaitViews();
+		}
+	}
+
+	/** Routers that watch one store, each itself or through a reader. */
+	private static final class Fleet implements AutoCloseable {
+
+		private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+
+		private final List<Member> members;
+
+		private final LoopbackNetworks networks;
+
+		private final RestorableStore store = new RestorableStore(this.vertx);
+
+		private final Map<HostName, Map<String, String>> views = new TreeMap<>(
+				(left, right) -> left.value().compareTo(right.value()));
+
+		private final AtomicReference<HostName> reader = new AtomicReference<>();
+
+		Fleet(int routers, boolean relayed) throws Exception {
+			this.members = IntStream.range(0, routers)
+				.mapToObj((number) -> new Member(HostName.of("host-" + number), 1, Place.of("here"),
+						Endpoint.of("127.0.0.1", 1 + number)))
+				.toList();
+			this.networks = new LoopbackNetworks(this.vertx, this.members);
+			if (relayed) {
+				this.reader.set(this.members.get(0).host());
+			}
+			run((ignored) -> this.members.forEach(this::start));
+		}
+
+		private void start(Member self) {
+			PeerNetwork network = this.networks.of(self);
+			StoreEras eras = StoreEras.create();
+			RelayedPrefixStore relayed = RelayedPrefixStore.create(this.vertx, this.store.client(self.host(), eras),
+					network, eras, () -> Optional.ofNullable(this.reader.get()),
+					(key, value) -> new String(value, StandardCharsets.UTF_8), (reader, prefix, reason) -> {
+					});
+			relayed.start();
+			Recorder view = new Recorder(this.views.computeIfAbsent(self.host(), (host) -> new TreeMap<>()));
+			PrefixWatcher watcher = PrefixWatcher.create(this.vertx, relayed, PREFIX, 3000, view,
+					PeerViews.create(network, eras));
+			watcher.start();
+		}
+
+		/**
+		 * Write a value that only a full read or the history of the new era shows, and
+		 * then heartbeats until the revision is higher than before the restoration.
+		 */
+		void writeUntilKnownRevisionIsPassed(String value) throws Exception {
+			Thread.sleep(300);
+			run((changed) -> changed.put(key(3), value));
+			for (int beat = 0; beat < 20; beat++) {
+				String text = "beat " + beat + " " + value;
+				run((changed) -> changed.put(key(4), text));
+				Thread.sleep(40);
+			}
+		}
+
+		void run(Consumer<RestorableStore> action) throws Exception {
+			call(() -> {
+				action.accept(this.store);
+				return null;
+			});
+		}
+
+		<T> T call(Callable<T> action) throws Exception {
+			Promise<T> done = Promise.promise();
+			this.vertx.runOnContext((ignored) -> {
+				try {
+					done.complete(action.call());
+				}
+				catch (Exception ex) {
+					done.fail(ex);
+				}
+			});
+			return await(done.future());
+		}
+
+		private static <T> T await(Future<T> future) throws Exception {
+			return future.toCompletionStage().toCompletableFuture().get(20, TimeUnit.SECONDS);
+		}
+
+		/** Wait until the view of each router equals the contents of the store. */
+		void awaitViews() throws Exception {
+			long limitNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_CHANGE_DELAY_MILLIS);
+			List<HostName> stale = staleRouters();
+			while (!stale.isEmpty()) {
+				assertThat(System.nanoTime()).as("%s have a stale view", stale).isLessThan(limitNanos);
+				Thread.sleep(10);
+				stale = staleRouters();
+			}
+		}
+
+		private List<HostName> staleRouters() throws Exception {
+			return call(() -> this.views.entrySet()
+				.stream()
+				.filter((view) -> !view.getValue().equals(this.store.items()))
+				.map(Map.Entry::getKey)
+				.toList());
+		}
+
+		@Override
+		public void close() throws Exception {
+			await(this.vertx.close());
+		}
+
+	}
+
+	/** Keeps the view of one router. */
+	private record Recorder(Map<String, String> view) implements PrefixWatcher.Listener {
+
+		@Override
+		public void listed(List<PrefixRead.Item> items, boolean afterOutage) {
+			this.view.clear();
+			changed(items, afterOutage);
+		}
+
+		@Override
+		public void changed(List<PrefixRead.Item> changes, boolean afterOutage) {
+			changes.forEach((item) -> {
+				if (item.removed()) {
+					this.view.remove(item.key());
+				}
+				else {
+					this.view.put(item.key(), new String(item.value(), StandardCharsets.UTF_8));
+				}
+			});
+		}
+
+		@Override
+		public void peerViewAdopted(long ageMillis) {
+		}
+
+		@Override
+		public void storeLost(String reason) {
+		}
+
+		@Override
+		public void storeRegained() {
+		}
+
+	}
+
+}
