Read all views again when the store has been restored

Cause: an overdue watch is repeated on a new connection from the revision of before. Once the restored store has given out that revision again, it answers "no changes" instead of 410, and the router goes on from there. Evidence: with the era recorded but not heeded by the watch, the log shows store-connections-replaced, 4 ms later store-restored, and no configuration-applied.

Change: a watch that is answered in another era than the one known when it was sent has lost its history. Whatever call learns of a restoration, all views are read again at once and outstanding answers are ignored; missing servers are kept as after an outage. A second full read follows after 4.5 s, when lost writes have been repeated.

Why it works: no answer of the restored store is combined with a view from before, whichever call is the first to reach it.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
@@ -13,7 +13,7 @@
 /**
  * Watcher that keeps a view of all keys with a prefix up to date. It starts with a full
  * read, continues with watches, and repeats the full read after each failure, lost
- * history or pause of the process. Confined to one event loop.
+ * history, pause of the process or restoration of the store. Confined to one event loop.
  */
 public final class PrefixWatcher {
 
@@ -44,6 +44,12 @@
 	 */
 	private static final long RECOVERY_NANOS = 2_500_000_000L;
 
+	/**
+	 * Time from a restoration of the store to a second full read, after which entries of
+	 * the copy that their writers do not renew have expired.
+	 */
+	private static final long RESTORATION_MILLIS = 4500;
+
 	private final Vertx vertx;
 
 	private final PrefixStore store;
@@ -74,6 +80,8 @@
 
 	private boolean outageSeen;
 
+	private int restorations;
+
 	private int generation;
 
 	private boolean stopped;
@@ -123,10 +131,32 @@
 	 * Repeat the full read because the view may be stale.
 	 */
 	public void refresh() {
+		if (this.stopped) {
+			return;
+		}
 		this.generation++;
 		readAll();
 	}
 
+	/**
+	 * Handle the restoration of the store from a copy: revisions and the answers to
+	 * outstanding calls belong to contents that no longer exist. Writers repeat their
+	 * lost writes during the following seconds.
+	 */
+	public void storeRestored() {
+		this.viewKnown = false;
+		this.outageSeen = true;
+		this.recoveredNanos = System.nanoTime();
+		this.listener.storeRestored();
+		refresh();
+		int restoration = ++this.restorations;
+		this.vertx.setTimer(RESTORATION_MILLIS, (id) -> {
+			if (restoration == this.restorations && !this.stopped) {
+				refresh();
+			}
+		});
+	}
+
 	private void readAll() {
 		int current = this.generation;
 		this.store.list(this.prefix).onSuccess((result) -> {
@@ -307,6 +337,12 @@
 		 */
 		void storeRegained();
 
+		/**
+		 * Handle the restoration of the store from a copy, before the next list. The copy
+		 * may contain entries that have been replaced or removed since.
+		 */
+		void storeRestored();
+
 	}
 
 }
--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/StoreEras.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/StoreEras.java
@@ -39,6 +39,15 @@
 		return Optional.ofNullable(this.current);
 	}
 
+	/**
+	 * Return whether the store has been restored since a call was made.
+	 * @param knownAtCall the era that was known when the call was made
+	 * @return true if what the call referred to is from an earlier era
+	 */
+	public boolean restoredSince(Optional<StoreEra> knownAtCall) {
+		return knownAtCall.filter((era) -> !era.equals(this.current)).isPresent();
+	}
+
 	/**
 	 * Add a listener. Listeners are notified in the order in which they were added.
 	 * @param listener the listener
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/PrefixWatcherTests.java
@@ -159,6 +159,50 @@
 		assertThat(this.events).doesNotContain("taken");
 	}
 
+	// Guards against a view of before a restoration that is kept because the answer to an
+	// outstanding watch arrives later, or because the restored store loses writes that
+	// are
+	// repeated only after the first read.
+	@Test
+	void restorationOfStoreCausesTwoFullReads() throws Exception {
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("a")), 5));
+		start();
+		await(this.store.calls, "watch 5");
+		this.store.answers.add(new PrefixRead.Listed(List.of(), 4));
+		this.vertx.runOnContext((ignored) -> {
+			this.watcher.storeRestored();
+			this.store.outstanding.get(0).complete(new PrefixRead.Changed(List.of(item("outdated")), 6));
+		});
+		awaitEvent("listed [] after an outage");
+		await(this.store.calls, "watch 4");
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("a"), item("b")), 9));
+		awaitEvent("listed [servers/a, servers/b]");
+		assertThat(this.events).containsSubsequence("listed [servers/a]", "restored", "listed [] after an outage",
+				"listed [servers/a, servers/b]");
+		assertThat(this.events).doesNotContain("changed [servers/outdated]");
+	}
+
+	// Guards against a second restoration whose lost writes are never read because the
+	// second full read belongs to the first one.
+	@Test
+	void secondRestorationPostponesTheSecondFullRead() throws Exception {
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("a")), 5));
+		start();
+		await(this.store.calls, "watch 5");
+		this.vertx.runOnContext((ignored) -> this.watcher.storeRestored());
+		Thread.sleep(2000);
+		this.store.answers.add(new PrefixRead.Listed(List.of(), 3));
+		long restoredNanos = System.nanoTime();
+		this.vertx.runOnContext((ignored) -> this.watcher.storeRestored());
+		await(this.store.calls, "watch 3");
+		int lists = this.store.lists();
+		this.store.answers.add(new PrefixRead.Listed(List.of(item("b")), 9));
+		awaitEvent("listed [servers/b]");
+		assertThat(this.store.lists()).isEqualTo(lists + 1);
+		// Entries of the copy expire after three heartbeat intervals of 1.2 s.
+		assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - restoredNanos)).isGreaterThanOrEqualTo(3600);
+	}
+
 	// Guards against the view of a router that has not noticed the restoration yet.
 	@Test
 	void viewOfPeerFromBeforeRestorationIsNotAdopted() throws Exception {
@@ -215,6 +259,11 @@
 			PrefixWatcherTests.this.events.add("regained");
 		}
 
+		@Override
+		public void storeRestored() {
+			PrefixWatcherTests.this.events.add("restored");
+		}
+
 	}
 
 	/** Store that returns scripted answers in order, then a default answer or none. */
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/RelayedPrefixStoreTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/RelayedPrefixStoreTests.java
@@ -210,6 +210,10 @@
 		public void storeRegained() {
 		}
 
+		@Override
+		public void storeRestored() {
+		}
+
 	}
 
 	/** In-memory store that may be unresponsive for one router. */
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/RestorableStore.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/RestorableStore.java
@@ -101,7 +101,9 @@
 						new Call(host, afterRevision, 1).start().onSuccess((answer) -> call.answer.tryComplete(answer));
 					}
 				});
-				return call.start().map((answer) -> checked(answer, known));
+				return call.start()
+					.map((answer) -> checked(answer, known))
+					.map((read) -> eras.restoredSince(known) ? new PrefixRead.HistoryLost() : read);
 			}
 
 			private PrefixRead checked(Answer answer, Optional<StoreEra> known) {
--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/StoreRestorationTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/StoreRestorationTests.java
@@ -1,15 +1,18 @@
 package io.balsamlane.router.store;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 import io.balsamlane.core.membership.Member;
 import io.balsamlane.core.model.Endpoint;
@@ -42,8 +45,15 @@
 
 	private static final String PREFIX = "servers/";
 
+	/** Seeds of the ordinary run; the property asks for more of them. */
+	private static final int SEEDS = Integer.getInteger("balsamlane.restoration.seeds", 8);
+
+	private static final int CONCURRENT_SEEDS = 8;
+
 	private static final int LARGE_FLEET = 20;
 
+	private static final int SMALL_FLEET = 7;
+
 	private static String key(int number) {
 		return PREFIX + number;
 	}
@@ -52,11 +62,18 @@
 	// changed
 	// since a revision that does not exist any more.
 	@ParameterizedTest
-	@EnumSource(names = { "KEPT", "RESET" })
+	@EnumSource(RestorableStore.Connections.class)
 	void relayedChangeAfterRestorationArrives(RestorableStore.Connections connections) throws Exception {
 		changeAfterRestorationArrives(LARGE_FLEET, true, connections);
 	}
 
+	// Guards against a watch from a revision that the restored store has given out again.
+	@ParameterizedTest
+	@EnumSource(RestorableStore.Connections.class)
+	void changeAfterRestorationArrives(RestorableStore.Connections connections) throws Exception {
+		changeAfterRestorationArrives(SMALL_FLEET, false, connections);
+	}
+
 	private void changeAfterRestorationArrives(int routers, boolean relayed, RestorableStore.Connections connections)
 			throws Exception {
 		try (Fleet fleet = new Fleet(routers, relayed)) {
@@ -71,6 +88,29 @@
 		}
 	}
 
+	// Guards against a restoration that comes while the routers read the store again
+	// after
+	// another one.
+	@Test
+	void secondRestorationDuringRecoveryIsNoticed() throws Exception {
+		try (Fleet fleet = new Fleet(LARGE_FLEET, true)) {
+			fleet.run((store) -> store.put(key(1), "first"));
+			fleet.awaitViews();
+			RestorableStore.State copy = fleet.call(() -> fleet.store.copy());
+			fleet.run((store) -> IntStream.range(0, 10).forEach((beat) -> store.put(key(2), "beat " + beat)));
+			for (int restoration = 0; restoration < 3; restoration++) {
+				int number = restoration;
+				fleet.run((store) -> {
+					store.restore(copy, RestorableStore.Connections.KEPT);
+					store.put(key(3), "after restoration " + number);
+					IntStream.range(0, 12).forEach((beat) -> store.put(key(4), "beat " + beat));
+				});
+				Thread.sleep(3L * restoration);
+			}
+			fleet.awaitViews();
+		}
+	}
+
 	// Guards against a router that was cut off from the store and from the other routers
 	// during the restoration, and then watches from a revision of before.
 	@Test
@@ -97,6 +137,56 @@
 		}
 	}
 
+	// Guards against interleavings of restorations, writes, cuts and changes of the
+	// reader
+	// after which a view remains stale.
+	@Test
+	void viewsConvergeAfterRandomRestorations() throws Exception {
+		List<String> failures = new ArrayList<>();
+		for (int first = 1; first <= SEEDS; first += CONCURRENT_SEEDS) {
+			List<Thread> runs = LongStream.range(first, Math.min(first + CONCURRENT_SEEDS, SEEDS + 1))
+				.mapToObj((seed) -> new Thread(() -> runRandomly(seed, failures)))
+				.toList();
+			runs.forEach(Thread::start);
+			for (Thread run : runs) {
+				run.join();
+			}
+		}
+		assertThat(failures).isEmpty();
+	}
+
+	private static void runRandomly(long seed, List<String> failures) {
+		Random random = new Random(seed);
+		boolean relayed = seed % 3 > 0;
+		try (Fleet fleet = new Fleet(relayed ? LARGE_FLEET : SMALL_FLEET, relayed)) {
+			fleet.run((store) -> store.put(key(0), "first"));
+			fleet.awaitViews();
+			List<RestorableStore.State> copies = new ArrayList<>();
+			copies.add(fleet.call(() -> fleet.store.copy()));
+			int steps = 20 + random.nextInt(40);
+			for (int step = 0; step < steps; step++) {
+				int number = step;
+				fleet.run((store) -> fleet.disturb(random, copies, number));
+				Thread.sleep(random.nextInt((random.nextInt(4) > 0) ? 30 : 1500));
+			}
+			fleet.run((store) -> fleet.members.forEach((member) -> {
+				store.reconnect(member.host());
+				fleet.networks.rejoin(member.host());
+			}));
+			// The readers are no longer bypassed after 2 s.
+			Thread.sleep(random.nextInt(3000));
+			fleet.run((store) -> store.restore(copies.get(copies.size() - 1),
+					RestorableStore.Connections.values()[random.nextInt(3)]));
+			fleet.writeUntilKnownRevisionIsPassed("after the last restoration");
+			fleet.awaitViews();
+		}
+		catch (Exception | AssertionError ex) {
+			synchronized (failures) {
+				failures.add("seed " + seed + ": " + ex);
+			}
+		}
+	}
+
 	/** Routers that watch one store, each itself or through a reader. */
 	private static final class Fleet implements AutoCloseable {
 
@@ -136,9 +226,31 @@
 			Recorder view = new Recorder(this.views.computeIfAbsent(self.host(), (host) -> new TreeMap<>()));
 			PrefixWatcher watcher = PrefixWatcher.create(this.vertx, relayed, PREFIX, 3000, view,
 					PeerViews.create(network, eras));
+			eras.addListener((previous, current) -> watcher.storeRestored());
 			watcher.start();
 		}
 
+		void disturb(Random random, List<RestorableStore.State> copies, int step) {
+			HostName host = this.members.get(random.nextInt(this.members.size())).host();
+			switch (random.nextInt(10)) {
+				case 0 -> copies.add(this.store.copy());
+				case 1 -> this.store.restore(copies.get(random.nextInt(copies.size())),
+						RestorableStore.Connections.values()[random.nextInt(3)]);
+				case 2 -> {
+					this.store.cutOff(host);
+					this.networks.isolate(host);
+				}
+				case 3 -> this.members.forEach((member) -> {
+					this.store.reconnect(member.host());
+					this.networks.rejoin(member.host());
+				});
+				case 4 -> this.reader.updateAndGet((current) -> (current != null) ? host : null);
+				case 5 -> this.store.put(key(random.nextInt(5)), null);
+				default -> IntStream.range(0, 1 + random.nextInt(8))
+					.forEach((write) -> this.store.put(key(random.nextInt(5)), step + "/" + write));
+			}
+		}
+
 		/**
 		 * Write a value that only a full read or the history of the new era shows, and
 		 * then heartbeats until the revision is higher than before the restoration.
@@ -236,6 +348,10 @@
 		public void storeRegained() {
 		}
 
+		@Override
+		public void storeRestored() {
+		}
+
 	}
 
 }
