Keep servers that left excluded when the store has been restored

After a restoration of the store, requests would go to a server that had announced its shutdown or had left, because the copy shows it as ready.

Cause: a full list replaces the table of servers, and the copy is older than the table.

Change: servers that were leaving or gone within the last minute stay excluded while a full list shows the same incarnation as ready, until they renew their entry or for 4 s, after which an entry that nobody renews has expired. The record of an incarnation, used by the announcements too, is a type of its own.

Why it works: only an entry that was written after the restoration can show a withdrawn server as ready.

--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerNotices.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerNotices.java
@@ -4,9 +4,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-import io.balsamlane.core.model.Endpoint;
-import io.balsamlane.core.model.ServerName;
-
 /**
  * What backend servers have announced about themselves in their responses: that they are
  * leaving, or that they accept no requests of this router for some time. An announcement
@@ -94,14 +91,6 @@
 		return this.notices.computeIfAbsent(Incarnation.of(server), (key) -> new Notice());
 	}
 
-	private record Incarnation(ServerName name, long startedMillis, Endpoint endpoint) {
-
-		static Incarnation of(ListedServer server) {
-			return new Incarnation(server.name(), server.startedMillis(), server.server().endpoint());
-		}
-
-	}
-
 	private static final class Notice {
 
 		private boolean leaving;
--- a/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/forwarding/ServerTable.java
@@ -25,7 +25,9 @@
  * <p>
  * Entries may expire while the store of the list is unavailable. A server whose entry is
  * missing on the first read after an outage is kept for a grace period, because live
- * servers register again.
+ * servers register again. If the store has been restored from a copy, a full list may
+ * show servers as they were before: one that has been leaving or gone since remains
+ * excluded until it renews its entry, or until the entry would have expired.
  */
 public final class ServerTable {
 
@@ -40,10 +42,13 @@
 
 	private final ServerNotices notices;
 
+	private final WithdrawnServers withdrawn;
+
 	private ServerTable(long graceNanos, int maxServers) {
 		this.graceNanos = graceNanos;
 		this.maxServers = maxServers;
 		this.notices = new ServerNotices(INCARNATIONS_PER_SERVER * maxServers);
+		this.withdrawn = new WithdrawnServers(INCARNATIONS_PER_SERVER * maxServers);
 	}
 
 	/**
@@ -74,16 +79,37 @@
 				remove(name, afterOutage, nowNanos).ifPresent(changes::add);
 			}
 		}
-		byName.values().forEach((server) -> changes.addAll(put(server)));
+		byName.values()
+			.stream()
+			.filter((server) -> server.server().leaving() || !this.withdrawn.distrusts(server, nowNanos))
+			.forEach((server) -> changes.addAll(apply(server)));
 		return changes;
 	}
 
 	/**
-	 * Add or update one entry of the list.
+	 * Handle the restoration of the list's store from a copy, before the next full list.
+	 * @param nowNanos the monotonic time
+	 */
+	public void storeRestored(long nowNanos) {
+		this.states.values()
+			.stream()
+			.map((state) -> state.listed)
+			.filter((server) -> server.server().leaving())
+			.forEach((server) -> this.withdrawn.add(server, nowNanos));
+		this.withdrawn.storeRestored(nowNanos);
+	}
+
+	/**
+	 * Add or update one entry of the list, which its server has just written.
 	 * @param server the server
 	 * @return the changes, empty if nothing changed
 	 */
 	public List<Change> put(ListedServer server) {
+		this.withdrawn.remove(server);
+		return apply(server);
+	}
+
+	private List<Change> apply(ListedServer server) {
 		State state = this.states.get(server.name());
 		if (state == null && this.states.size() >= this.maxServers) {
 			return List.of(new Change(server, "left-out"));
@@ -134,6 +160,7 @@
 			return Optional.of(new Change(state.listed, "missing-after-outage"));
 		}
 		this.states.remove(name);
+		this.withdrawn.add(state.listed, nowNanos);
 		return Optional.of(new Change(state.listed, "gone"));
 	}
 
@@ -148,7 +175,10 @@
 			.filter((state) -> state.missing && nowNanos - state.missingSinceNanos >= this.graceNanos)
 			.map((state) -> new Change(state.listed, "gone"))
 			.toList();
-		changes.forEach((change) -> this.states.remove(change.server().name()));
+		changes.forEach((change) -> {
+			this.states.remove(change.server().name());
+			this.withdrawn.add(change.server(), nowNanos);
+		});
 		return changes;
 	}
 
--- a/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ServerTableTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/forwarding/ServerTableTests.java
@@ -133,6 +133,56 @@
 		assertThat(this.table.isUsable(server("a", false, 1), NOW_NANOS)).isFalse();
 	}
 
+	// Guards against a server that is used again because the store was restored from a
+	// copy
+	// of before it announced its shutdown.
+	@Test
+	void leavingServerStaysExcludedThoughRestoredListShowsItReady() {
+		this.table.put(server("a", false, 1));
+		this.table.put(server("a", true, 1));
+		this.table.storeRestored(NOW_NANOS);
+		this.table.replaceAll(List.of(server("a", false, 1)), true, NOW_NANOS);
+		assertThat(usable()).isEmpty();
+		// A second restoration during the first one's recovery.
+		this.table.storeRestored(NOW_NANOS + 1000 * NANOS_PER_MILLI);
+		this.table.replaceAll(List.of(server("a", false, 1)), true, NOW_NANOS + 4500 * NANOS_PER_MILLI);
+		assertThat(usable()).isEmpty();
+		// The entry outlives three heartbeat intervals, so its server renews it.
+		this.table.replaceAll(List.of(server("a", false, 1)), true, NOW_NANOS + 5000 * NANOS_PER_MILLI);
+		assertThat(usable()).containsExactly("a");
+	}
+
+	// Guards against a server that is used again because the store was restored from a
+	// copy
+	// of before it left.
+	@Test
+	void removedServerStaysExcludedThoughRestoredListShowsIt() {
+		this.table.put(server("a", false, 1));
+		this.table.remove(server("a", false, 1).name(), false, NOW_NANOS);
+		this.table.storeRestored(NOW_NANOS + 1);
+		this.table.replaceAll(List.of(server("a", false, 1), server("b", false, 1)), true, NOW_NANOS + 2);
+		assertThat(usable()).containsExactly("b");
+		this.table.put(server("a", false, 1));
+		assertThat(usable()).containsExactlyInAnyOrder("a", "b");
+	}
+
+	@Test
+	void nextIncarnationOfRemovedServerIsUsableAfterRestoration() {
+		this.table.put(server("a", false, 1));
+		this.table.remove(server("a", false, 1).name(), false, NOW_NANOS);
+		this.table.storeRestored(NOW_NANOS + 1);
+		this.table.replaceAll(List.of(server("a", false, 2)), true, NOW_NANOS + 2);
+		assertThat(usable()).containsExactly("a");
+	}
+
+	@Test
+	void serverThatRegistersAgainIsUsableWithoutRestoration() {
+		this.table.put(server("a", false, 1));
+		this.table.remove(server("a", false, 1).name(), false, NOW_NANOS);
+		this.table.replaceAll(List.of(server("a", false, 1)), false, NOW_NANOS + 1);
+		assertThat(usable()).containsExactly("a");
+	}
+
 	@Test
 	void successorAtTheAddressOfLeavingServerIsUsable() {
 		this.table.put(server("a", false, 1));
--- a/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/forwarding/ForwardingState.java
@@ -162,6 +162,13 @@
 		this.servers.remove(name, afterOutage, System.nanoTime()).ifPresent(this::changed);
 	}
 
+	/**
+	 * Handle the restoration of the list store from a copy, before the next full list.
+	 */
+	public void serverStoreRestored() {
+		this.servers.storeRestored(System.nanoTime());
+	}
+
 	/**
 	 * Set the listener that is notified when a server has terminated without announcing
 	 * it or was restarted.
