--- a/balsamlane-core/src/main/java/io/balsamlane/core/orders/OrderLease.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/orders/OrderLease.java
@@ -18,6 +18,10 @@
  * exists only while the lease of its writer is valid, and it is written only while it is
  * absent. Therefore at most one valid lease is attached to the key, and the version of
  * the key, which serves as fencing number, is higher for a later holder.
+ * <p>
+ * A store that has been restored from a copy may have lost the key and the lease while
+ * their holder still issues orders. Other routers therefore acquire the lease only after
+ * the time for which any lease of before the restoration may be held.
  */
 final class OrderLease {
 
@@ -132,6 +136,19 @@
 		scheduleRetry(nowNanos);
 	}
 
+	/**
+	 * Abandon the lease because the store has been restored from a copy. The lease is not
+	 * revoked, because its number may have been given out again.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 */
+	void storeRestored(long nowNanos) {
+		boolean lastHolder = held(nowNanos);
+		abandon(nowNanos);
+		if (!lastHolder) {
+			this.nextTryNanos = nowNanos + this.limits.leaseNanos();
+		}
+	}
+
 	private void scheduleRetry(long nowNanos) {
 		long retryNanos = this.limits.retryNanos();
 		this.nextTryNanos = nowNanos + retryNanos + this.random.nextLong(retryNanos);
--- a/balsamlane-core/src/main/java/io/balsamlane/core/orders/StageOrders.java
+++ b/balsamlane-core/src/main/java/io/balsamlane/core/orders/StageOrders.java
@@ -105,6 +105,15 @@
 		return List.of();
 	}
 
+	/**
+	 * Handle the restoration of the store from a copy, which may have lost the lease of
+	 * this router or of another one.
+	 * @param nowNanos the current monotonic time, in nanoseconds
+	 */
+	public void storeRestored(long nowNanos) {
+		this.lease.storeRestored(nowNanos);
+	}
+
 	/**
 	 * Return whether this router holds the lease.
 	 * @param nowNanos the current monotonic time, in nanoseconds
--- a/balsamlane-core/src/test/java/io/balsamlane/core/orders/StageOrdersTests.java
+++ b/balsamlane-core/src/test/java/io/balsamlane/core/orders/StageOrdersTests.java
@@ -99,9 +99,67 @@
 		assertThat(this.second.fencing.get(0)).isGreaterThan(this.first.fencing.get(0));
 	}
 
+	// Guards against orders of two holders in quick succession: the store loses the lease
+	// of
+	// a holder that does not know of its restoration.
+	@Test
+	void leaseThatRestoredStoreLostIsNotTakenWhileItsHolderMayIssueOrders() {
+		for (long restoredMillis = 500; restoredMillis < 20_000; restoredMillis += 300) {
+			Store restored = new Store();
+			Router holder = new Router("holder", restoredMillis, restored);
+			Router other = new Router("other", restoredMillis + 1, restored);
+			holder.orders.update(true, CHANGE);
+			holder.run(0, restoredMillis);
+			Store.Copy copy = new Store().copy();
+			restored.restore(copy);
+			long lastMillis = restoredMillis;
+			other.orders.update(true, CHANGE);
+			other.orders.storeRestored(restoredMillis * NANOS_PER_MILLI);
+			holder.isolated = true;
+			for (long now = restoredMillis; now < restoredMillis + 60_000; now += 50) {
+				holder.tick(now);
+				other.tick(now);
+				lastMillis = holder.issuedMillis.stream().mapToLong(Long::longValue).max().orElse(restoredMillis);
+			}
+			assertThat(other.issuedMillis).isNotEmpty();
+			assertThat(other.issuedMillis.get(0) - lastMillis).as("restored at %s ms", restoredMillis)
+				.isGreaterThanOrEqualTo(3_000);
+		}
+	}
+
+	// Guards against a lease number that the restored store has given to another router
+	// and
+	// that the holder of before revokes, and against a holder that waits for itself.
+	@Test
+	void holderAcquiresLeaseAnewAfterRestoration() {
+		this.first.orders.update(true, CHANGE);
+		this.first.run(0, 5_000);
+		assertThat(this.first.orders.held(5_000 * NANOS_PER_MILLI)).isTrue();
+		this.store.restore(new Store().copy());
+		this.first.orders.storeRestored(5_000 * NANOS_PER_MILLI);
+		assertThat(this.first.orders.held(5_000 * NANOS_PER_MILLI)).isFalse();
+		this.first.run(5_000, 30_000);
+		assertThat(this.first.issuedMillis).hasSizeGreaterThan(1);
+		assertThat(this.first.revocations).isZero();
+		assertThat(this.first.fencing.get(1)).isGreaterThan(this.first.fencing.get(0));
+	}
+
+	// Guards against an answer of before the restoration that makes its router a holder.
+	@Test
+	void answerToCallOfBeforeRestorationIsIgnored() {
+		this.first.orders.update(true, CHANGE);
+		List<OrderAction> actions = this.first.orders.tick(0);
+		OrderAction.ReadHolder read = (OrderAction.ReadHolder) actions.get(0);
+		this.first.orders.storeRestored(0);
+		assertThat(this.first.orders.handle(new OrderEvent.HolderAbsent(read.call()), 1)).isEmpty();
+	}
+
 	/** Store with a single key that is attached to a lease. */
 	private static final class Store {
 
+		/** Versions of a later era are higher. */
+		private static final long ERA = 1L << 40;
+
 		private long version = 10;
 
 		private String holder;
@@ -112,6 +170,17 @@
 
 		private int calls;
 
+		Copy copy() {
+			return new Copy(this.version, this.holder, this.lease, this.leaseEndMillis);
+		}
+
+		void restore(Copy copy) {
+			this.version = copy.version() + ERA;
+			this.holder = copy.holder();
+			this.lease = copy.lease();
+			this.leaseEndMillis = copy.leaseEndMillis();
+		}
+
 		void expire(long nowMillis) {
 			if (this.holder != null && nowMillis >= this.leaseEndMillis) {
 				this.holder = null;
@@ -145,6 +214,9 @@
 			return new OrderEvent.HolderWritten(write.call(), ++this.version);
 		}
 
+		private record Copy(long version, String holder, long lease, long leaseEndMillis) {
+		}
+
 	}
 
 	/** Router that executes its actions immediately. */
@@ -158,6 +230,10 @@
 
 		private final List<Long> fencing = new ArrayList<>();
 
+		private boolean isolated;
+
+		private int revocations;
+
 		private java.util.function.LongFunction<OrderEvent> answer = OrderEvent.OrderAccepted::new;
 
 		Router(String host, long seed) {
@@ -176,6 +252,16 @@
 			}
 		}
 
+		private static OrderEvent failure(OrderAction action) {
+			if (action instanceof OrderAction.RenewLease renew) {
+				return new OrderEvent.StoreFailed(renew.call());
+			}
+			if (action instanceof OrderAction.ReadHolder read) {
+				return new OrderEvent.StoreFailed(read.call());
+			}
+			return new OrderEvent.StoreFailed(((OrderAction.GrantLease) action).call());
+		}
+
 		void tick(long nowMillis) {
 			execute(this.orders.tick(nowMillis * NANOS_PER_MILLI), nowMillis);
 		}
@@ -190,8 +276,12 @@
 							nowMillis);
 				}
 				else if (action instanceof OrderAction.RevokeLease) {
+					this.revocations++;
 					this.routerStore.holder = null;
 				}
+				else if (this.isolated) {
+					execute(this.orders.handle(failure(action), nowMillis * NANOS_PER_MILLI), nowMillis);
+				}
 				else {
 					execute(this.orders.handle(this.routerStore.answer(action, nowMillis), nowMillis * NANOS_PER_MILLI),
 							nowMillis);
--- a/balsamlane-router/src/main/java/io/balsamlane/router/orders/StageOrderDriver.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/orders/StageOrderDriver.java
@@ -105,6 +105,14 @@
 		this.vertx.setPeriodic(TICK_MILLIS, (id) -> tick());
 	}
 
+	/**
+	 * Handle the restoration of the store from a copy: leases of before no longer count.
+	 */
+	public void storeRestored() {
+		long nowNanos = System.nanoTime();
+		this.orders.values().forEach((stageOrders) -> stageOrders.storeRestored(nowNanos));
+	}
+
 	/**
 	 * Release all services. Each lease is revoked as soon as no order can take effect any
 	 * more.
