Store quarantines again when the store has been restored

After a restoration of the store and a restart of all routers, requests and prompt parts that crash servers would reach servers again.

Cause: a quarantine is written once, and the restored store has lost it. Evidence: a key of a quarantine that the copy lacks never came back on.

Change: a router that learns of the restoration stores the quarantines again that it stored before, and those for which it is responsible by rendezvous hashing.

Why it works: each quarantine that a running router knows is written by its own router, and by one more if that has ended.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/quarantine/QuarantineRecords.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/quarantine/QuarantineRecords.java
@@ -1,9 +1,13 @@
 package io.balsamlane.router.quarantine;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 
 import io.balsamlane.router.store.LeaseStore;
 import io.balsamlane.router.store.PrefixRead;
@@ -15,7 +19,8 @@
 
 /**
  * Keeps quarantines in the store, so that they outlive a restart of all routers. Each is
- * a key that expires with its lease.
+ * a key that expires with its lease. A store that has been restored from a copy may have
+ * lost some; they are stored again.
  */
 public final class QuarantineRecords {
 
@@ -40,6 +45,8 @@
 
 	private final BiConsumer<String, Object> failureListener;
 
+	private final Set<String> storedKeys = new HashSet<>();
+
 	private boolean stopped;
 
 	private QuarantineRecords(Vertx vertx, String host, PrefixStore reads, LeaseStore writes, QuarantineTable table,
@@ -83,6 +90,20 @@
 		});
 	}
 
+	/**
+	 * Store quarantines again after the store has been restored from a copy: those that
+	 * this router stored, and those of routers that may have terminated since.
+	 * @param responsible tells for which keys this router acts instead of the one that
+	 * stored them; one router of the fleet does for each key
+	 */
+	public void storeRestored(Predicate<String> responsible) {
+		List<QuarantineEntry> entries = this.table.entries().getEntriesList();
+		this.storedKeys.retainAll(entries.stream().map(QuarantineRecords::key).toList());
+		entries.stream()
+			.filter((entry) -> this.storedKeys.contains(key(entry)) || responsible.test(key(entry)))
+			.forEach(this::store);
+	}
+
 	/**
 	 * Stop retrying calls to the store.
 	 */
@@ -103,6 +124,7 @@
 	 * @param entry the quarantine
 	 */
 	public void store(QuarantineEntry entry) {
+		this.storedKeys.add(key(entry));
 		this.writes.grantLease(entry.getRemainingMillis()).onSuccess((lease) -> {
 			if (lease instanceof StoreLease.Granted granted) {
 				write(entry, granted.lease());
