Forget ended quarantines among those to be stored again

The keys that a router stored were only pruned after a restoration, so they grew with each decision of a long-lived router. They are pruned with each decision now. QuarantineRestorationTests passes.

--- a/balsamlane-router/src/main/java/io/balsamlane/router/quarantine/QuarantineRecords.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/quarantine/QuarantineRecords.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -97,9 +96,9 @@
 	 * stored them; one router of the fleet does for each key
 	 */
 	public void storeRestored(Predicate<String> responsible) {
-		List<QuarantineEntry> entries = this.table.entries().getEntriesList();
-		this.storedKeys.retainAll(entries.stream().map(QuarantineRecords::key).toList());
-		entries.stream()
+		this.table.entries()
+			.getEntriesList()
+			.stream()
 			.filter((entry) -> this.storedKeys.contains(key(entry)) || responsible.test(key(entry)))
 			.forEach(this::store);
 	}
@@ -124,6 +123,8 @@
 	 * @param entry the quarantine
 	 */
 	public void store(QuarantineEntry entry) {
+		// Quarantines that have ended are forgotten.
+		this.storedKeys.retainAll(this.table.entries().getEntriesList().stream().map(QuarantineRecords::key).toList());
 		this.storedKeys.add(key(entry));
 		this.writes.grantLease(entry.getRemainingMillis()).onSuccess((lease) -> {
 			if (lease instanceof StoreLease.Granted granted) {
