--- a/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
+++ b/balsamlane-router/src/main/java/io/balsamlane/router/store/PrefixWatcher.java
@@ -46,7 +46,8 @@
 
 	/**
 	 * Time from a restoration of the store to a second full read, after which entries of
-	 * the copy that their writers do not renew have expired.
+	 * the copy that their writers do not renew have expired. It exceeds the time for
+	 * which listeners do not trust such entries.
 	 */
 	private static final long RESTORATION_MILLIS = 4500;
 
