Let the test of repeated restorations fail without the relay's check

With growing pauses between the restorations the routers bypassed the reader and were up to date by themselves, also without the comparison of eras.

--- a/balsamlane-router/src/test/java/io/balsamlane/router/store/StoreRestorationTests.java
+++ b/balsamlane-router/src/test/java/io/balsamlane/router/store/StoreRestorationTests.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -89,8 +90,9 @@
 
 	// Guards against a restoration that is missed because it comes during the full reads
 	// that follow another one.
-	@Test
-	void secondRestorationDuringRecoveryIsNoticed() throws Exception {
+	@ParameterizedTest
+	@ValueSource(ints = { 5, 700 })
+	void furtherRestorationDuringRecoveryIsNoticed(int gapMillis) throws Exception {
 		try (Fleet fleet = new Fleet(LARGE_FLEET, true)) {
 			fleet.run((store) -> store.put(key(1), "first"));
 			fleet.awaitViews();
@@ -98,7 +100,7 @@
 			fleet.run((store) -> IntStream.range(0, 10).forEach((beat) -> store.put(key(2), "beat " + beat)));
 			for (int restoration = 0; restoration < 3; restoration++) {
 				fleet.run((store) -> store.restore(copy, RestorableStore.Connections.KEPT));
-				Thread.sleep(4L * (restoration + 1));
+				Thread.sleep(gapMillis);
 			}
 			fleet.writeUntilKnownRevisionIsPassed("after the last restoration");
 			fleet.awaitViews();
