--- a/review/standins-3/Replica.java
+++ b/review/standins-3/Replica.java
@@ -169,6 +169,12 @@
 					+ "\"in_flight\":false,\"seq\":0,\"waiting\":0,\"num_running\":0,\"kv_used\":0,\"kv_total\":33770,"
 					+ "\"kv_handles\":0}";
 		}
+		else if (target.equals("/v1/order")) {
+			// Another order is in progress.
+			Http.readBody(connection.in, connection.head);
+			connection.write("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+			return true;
+		}
 		else if (target.startsWith("/v1/kv-handle/")) {
 			body = "{}";
 		}
