--- a/review/standins-3/ManyKeys.java
+++ b/review/standins-3/ManyKeys.java
@@ -19,14 +19,29 @@
 
 	private static final int REQUESTS = 100;
 
+	/** Later lines replace earlier ones. */
+	private static final String SITE_SETTINGS = """
+			contracts=base,drain,config,cost,retry,recover,health,pool,split,stream,engine,tenants,quota,pressure,platform
+			bounds.contact_ms=5000
+			bounds.drain_ms=4000
+			bounds.config_apply_ms=4000
+			bounds.max_stretch_ms=8000
+			bounds.quota_window_s=8
+			bounds.quota_excess=0.1
+			bounds.quota_tolerance=140000""";
+
 	private ManyKeys() {
 	}
 
-	public static void main(String[] args) throws Exception {
+	public static void main(String[] args) {
 		boolean trouble = !"0".equals(System.getenv("TROUBLE"));
 		try (Recorder record = new Recorder(Path.of(args[0], "record.txt"))) {
 			System.exit(run(record, trouble));
 		}
+		catch (Exception ex) {
+			ex.printStackTrace();
+			System.exit(2);
+		}
 	}
 
 	private static int run(Recorder record, boolean trouble) throws Exception {
@@ -51,14 +66,14 @@
 		Path directory = Deployment.temporaryDirectory();
 		int peerPort = Router.freePort("127.0.0.36");
 		try (Router router = new Router(directory, "edge-a-1", "127.0.0.36", "a", peerPort, storePort,
-				List.of("127.0.0.36"), "")) {
+				List.of("127.0.0.36"), SITE_SETTINGS)) {
 			router.start();
 			if (!router.awaitReady(replicas.size(), 30_000)) {
 				record.result("the router did not become ready: %s", router.output());
 				return 2;
 			}
 			record.line("router process %d is ready; trouble: %s", router.pid(), trouble);
-			Replica.sleep(5000);
+			Replica.sleep(6000);
 			record.line("before the change, key-1: %d", call(router, record, "key-1"));
 			if (!trouble) {
 				keys.remove(KEYS - 1);
@@ -83,8 +98,8 @@
 		return Deployment.configuration(version,
 				Deployment.plainRoute("/seat/", "non_idempotent", "taquilla", 2000, 1), Deployment.plainService("taquilla"),
 				",\"tenants\":[{\"name\":\"resale\",\"api_keys\":[" + list
-						+ "],\"rate_per_s\":0,\"burst\":0,\"plain_tokens\":1},"
-						+ "{\"name\":\"desk\",\"api_keys\":[\"desk-1\"],\"rate_per_s\":0,\"burst\":0,\"plain_tokens\":1}]");
+						+ "],\"rate_per_s\":0,\"burst\":0,\"unit\":\"token_stream\",\"plain_tokens\":200},"
+						+ "{\"name\":\"desk\",\"api_keys\":[\"desk-1\"],\"rate_per_s\":0,\"burst\":0,\"unit\":\"token_stream\",\"plain_tokens\":200}]");
 	}
 
 	private static int call(Router router, Recorder record, String key) {
--- a/review/standins-3/Store.java
+++ b/review/standins-3/Store.java
@@ -64,6 +64,11 @@
 
 	private long revision = 100;
 
+	/** Entries of replicas are removed after three heartbeat intervals of silence. */
+	private static final long SILENCE_NANOS = 3_600_000_000L;
+
+	private final Map<String, Long> writtenNanos = new TreeMap<>();
+
 	private long lastLease = 7000;
 
 	Store() {
@@ -84,11 +89,6 @@
 		return put(key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)), 0);
 	}
 
-	/** Write a value that is base64 text already. */
-	synchronized long writeEncoded(String key, String value) {
-		return put(key, value, 0);
-	}
-
 	synchronized void remove(String key) {
 		if (this.items.remove(key) != null) {
 			this.revision++;
@@ -100,6 +100,7 @@
 
 	private long put(String key, String value, long lease) {
 		Item old = this.items.get(key);
+		this.writtenNanos.put(key, System.nanoTime());
 		this.revision++;
 		Item item = new Item(key, value, this.revision, (old != null) ? old.created() : this.revision, lease);
 		this.items.put(key, item);
@@ -118,6 +119,13 @@
 			}
 			synchronized (this) {
 				long now = System.nanoTime();
+				this.items.values()
+					.stream()
+					.filter((item) -> item.key().startsWith("servers/")
+							&& now - this.writtenNanos.getOrDefault(item.key(), now) > SILENCE_NANOS)
+					.map(Item::key)
+					.toList()
+					.forEach(this::remove);
 				this.leases.entrySet()
 					.stream()
 					.filter((lease) -> now - lease.getValue().endNanos > 0)
